--- /dev/null
+++ b/src/simhost/fleet.cpp
@@ -0,0 +1,440 @@
+#include "simhost/fleet.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <map>
+#include <string>
+
+namespace ashbeam::simhost {
+
+namespace {
+
+enum EventCode : std::uint8_t {
+  kStart = 1, kRosterChange, kAccept, kOpened, kResponse, kExpired, kWake, kChecked, kMessage, kHalt,
+  kReleaseState, kMetrics, kDisputed, kSheet, kSelect
+};
+enum ActionCode : std::uint8_t {
+  kTransmit = 1, kTurnAway, kDropRequest, kWithdraw, kWakeAt, kAskLoad, kReleaseIdle, kWritePeer, kPrint,
+  kFatal, kFollow, kReload, kBallot, kSpeaking
+};
+constexpr std::size_t kEntryBytes = 27;
+
+class Pairs {  // the settings text as path=value lines
+ public:
+  explicit Pairs(std::string_view lines) {
+    while (!lines.empty()) {
+      const std::size_t end = std::min(lines.find('\n'), lines.size());
+      const std::string_view line = lines.substr(0, end);
+      const std::size_t eq = line.find('=');
+      if (eq != std::string_view::npos) values_[std::string(line.substr(0, eq))] = line.substr(eq + 1);
+      lines.remove_prefix(std::min(end + 1, lines.size()));
+    }
+  }
+  std::string word(const std::string& path) const {
+    const auto it = values_.find(path);
+    if (it == values_.end()) throw WireError("settings: '" + path + "' is missing");
+    return it->second;
+  }
+  std::string word(const std::string& path, const char* otherwise) const {
+    return values_.contains(path) ? word(path) : otherwise;
+  }
+  double number(const std::string& path) const { return parse(path, word(path)); }
+  double number(const std::string& path, double otherwise) const {
+    return values_.contains(path) ? number(path) : otherwise;
+  }
+  std::uint32_t count(const std::string& path) const { return static_cast<std::uint32_t>(number(path)); }
+  Span span(const std::string& path) const { return Span::ms(number(path)); }
+  bool flag(const std::string& path) const { return word(path, "false") == "true"; }
+  std::vector<std::string> words(const std::string& path) const {
+    std::vector<std::string> all;
+    std::string rest = word(path, "");
+    while (!rest.empty()) {
+      const std::size_t comma = std::min(rest.find(','), rest.size());
+      all.push_back(rest.substr(0, comma));
+      rest.erase(0, comma + 1);
+    }
+    return all;
+  }
+  std::vector<double> numbers(const std::string& path) const {
+    std::vector<double> all;
+    for (const std::string& w : words(path)) all.push_back(parse(path, w));
+    return all;
+  }
+
+ private:
+  static double parse(const std::string& path, const std::string& text) {
+    double v = 0;
+    const auto [end, err] = std::from_chars(text.data(), text.data() + text.size(), v);
+    if (err != std::errc() || end != text.data() + text.size()) {
+      throw WireError("settings: '" + path + "' is not a number: '" + text + "'");
+    }
+    return v;
+  }
+  std::map<std::string, std::string> values_;
+};
+
+Result result_of(std::uint16_t verdict, const Reader& in) {
+  switch (verdict) {
+    case 200: return Result::kOk;
+    case 502: return Result::kError;
+    case 429: return Result::kFull;
+    case 408: return Result::kTimeout;
+    case 521: return Result::kNoConnect;
+    case 520: return Result::kReset;
+    case 444: return Result::kCancelled;
+    case 409: return Result::kMoot;
+    default: in.fail("unknown verdict " + std::to_string(verdict));
+  }
+}
+
+Answer answer_of(std::uint16_t verdict, const Reader& in) {
+  switch (verdict) {
+    case 200: return Answer::kTaken;
+    case 409: return Answer::kVoid;
+    case 429: return Answer::kFull;
+    case 502: return Answer::kFailed;
+    case 408: return Answer::kUnknown;
+    default: in.fail("unknown vote verdict " + std::to_string(verdict));
+  }
+}
+
+}  // namespace
+
+Terms read_terms(std::string_view lines) {
+  const Pairs given(lines);
+  Terms t;
+  const std::uint32_t groups = given.count("grades.count");
+  for (std::uint32_t i = 0; i < groups; ++i) {
+    const std::string at = "grades." + std::to_string(i) + ".";
+    PathGroup g;
+    const std::string effect = given.word(at + "effect");
+    if (effect == "idempotent") g.repeats = Repeats::kRepeatable;
+    else if (effect == "deduplicated") g.repeats = Repeats::kTagged;
+    else if (effect == "at_most_once") g.repeats = Repeats::kMutating;
+    else throw WireError("settings: '" + at + "effect' is unknown: '" + effect + "'");
+    const std::string group = given.word(at + "group", "all");
+    g.group = group == "zone" ? DropGroup::kZone : group == "cell" ? DropGroup::kCell : DropGroup::kAll;
+    g.target = given.span(at + "goalTimeMs");
+    g.client_timeout = given.span(at + "deadlineMs");
+    g.memory = Span::ms(given.number(at + "memorySpanMs", 0));
+    g.benefit = given.number(at + "worth", 1);
+    g.late_worth = given.number(at + "lateWorth", 0);
+    t.path_groups.push_back(g);
+  }
+  if (groups == 0) throw WireError("settings: 'grades.count' is 0");
+  const auto parties = static_cast<std::uint32_t>(given.number("parties.count", 0));
+  for (std::uint32_t i = 0; i < parties; ++i) {
+    t.customer_per_s.push_back(given.number("parties." + std::to_string(i) + ".allowancePerS", 0));
+  }
+  t.over_share_worth = given.number("overShareWorth", 1);
+  t.zones = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.words("zones").size()));
+  t.kinds = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.words("kinds").size()));
+  t.zone = static_cast<std::uint32_t>(given.number("zone", 0));
+  t.routers = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.number("replicasOfMe", 1)));
+  t.me = static_cast<std::uint32_t>(given.number("myNumber", 0));
+  t.must_ask = given.word("discovery", "automatic") == "subscribe";
+  t.may_cancel = given.flag("allowed.cancel");
+  t.may_copy = given.flag("allowed.secondCopies");
+  t.may_tell_peers = given.flag("allowed.peers");
+  t.may_ask_load = given.flag("allowed.probes");
+  t.retry_after = given.flag("allowed.retryAfter");
+  t.longest_retry_after = Span::ms(given.number("allowed.maxRetryAfterMs", 0));
+  t.max_forwards = static_cast<std::uint32_t>(given.number("allowed.maxAttempts", 1));
+  t.report_in_answers = given.word("stats.how", "off") == "inline";
+  const auto columns = given.words("stats.columns");
+  for (std::size_t i = 0; i < columns.size(); ++i) {
+    if (columns[i] == "active") t.active_column = static_cast<int>(i);
+  }
+  t.drain_grace = given.span("rules.drainGraceMs");
+  t.ask_within = Span::ms(given.number("rules.askWithinMs", 1e9));
+  t.cold_window = given.span("rules.fallMs");
+  t.cold_multiple = given.number("rules.fallMultiple");
+  t.start_capacity = given.number("rules.startCapacity");
+  t.warm_after = given.span("rules.warmAfterMs");
+  t.tick = Span::ms(given.number("tickMs", 1));
+  t.cross_price = given.number("prices.crossZone", 0);
+  t.probe_price = given.number("prices.probe", 0);
+  t.caps = given.numbers("familyInfo.mostShares");
+  if (t.caps.empty()) throw WireError("settings: 'familyInfo.mostShares' is missing");
+  t.rings = given.numbers("familyInfo.rings");
+  t.by_path_group = given.word("familyInfo.counts", "all") == "per_lane";
+  t.one_way = given.flag("familyInfo.forwardOnly");
+  t.clocked = given.word("familyInfo.decidedBy", "single") == "clocked";
+  t.rolling = given.word("familyInfo.style", "side_by_side") == "rolling";
+  t.closed_stages = static_cast<std::uint32_t>(given.number("familyInfo.closedStages", 0));
+  t.spare = given.number("familyInfo.spareTries", 0);
+  t.window = given.span("familyInfo.spanMs");
+  t.vote_life = given.span("familyInfo.ballotTtlMs");
+  t.bake = Span::ms(given.number("familyInfo.bakeMs", 2000));
+  t.tally_every = Span::ms(given.number("familyInfo.tallyEveryMs", 0));
+  t.answer_wait = Span::ms(given.number("familyInfo.answerWaitMs", 2000));
+  t.votes_per_s = given.number("familyInfo.callsPerS", 10);
+  t.reported_share = given.number("familyInfo.reportedShare", 0);
+  t.tally_sample = given.number("familyInfo.tallySample", 1);
+  return t;
+}
+
+// One router with its door: the wire's host addresses become small indices here.
+class Fleet::Instance : public Sink {
+ public:
+  Instance(std::uint32_t who, Writer*& reply, const Instance*& speaking)
+      : who_(who), reply_(reply), speaking_(speaking) {}
+
+  bool running() const { return router_ != nullptr; }
+  Router& router() { return *router_; }
+  void start(const Terms& terms, std::uint64_t seed) {
+    addresses_.clear();
+    indices_ = IndexMap();
+    router_ = make_router(terms, seed, *this);
+  }
+  void halt() { router_.reset(); }
+  HostIndex index_of(std::uint64_t address) {
+    std::uint32_t i = indices_.find(address);
+    if (i == IndexMap::kNone) {
+      i = static_cast<std::uint32_t>(addresses_.size());
+      addresses_.push_back(address);
+      indices_.put(address, i);
+    }
+    return i;
+  }
+  bool knows(std::uint64_t address) const { return indices_.find(address) != IndexMap::kNone; }
+
+  void forward(HitId hit, HostIndex host, Span try_for) override {
+    say(kTransmit).u32(hit);
+    reply_->address(addresses_[host]);
+    reply_->f64(try_for.ms());
+  }
+  void bounce(HitId hit, Span retry_after) override {
+    say(kTurnAway).u32(hit);
+    reply_->f64(retry_after.ms());
+  }
+  void error(HitId hit) override { say(kDropRequest).u32(hit); }
+  void cancel(HitId hit, unsigned leg) override {
+    say(kWithdraw).u32(hit);
+    reply_->u8(static_cast<std::uint8_t>(leg));
+  }
+  void wake(Span from_now, std::uint64_t token) override {
+    say(kWakeAt).f64(from_now.ms());
+    reply_->u64(token);
+  }
+  void ask_load(HostIndex host) override { say(kAskLoad).address(addresses_[host]); }
+  void follow_list() override { say(kFollow).u8(1); }
+  void vote(BuildId build, unsigned stage, Vote vote) override {
+    say(kBallot).u16(static_cast<std::uint16_t>(build));
+    reply_->u8(static_cast<std::uint8_t>(stage));
+    reply_->u8(static_cast<std::uint8_t>(vote));
+  }
+  void tell_peers(std::span<const std::uint8_t> bytes) override {
+    say(kWritePeer).u16(0xffff);
+    reply_->text(bytes);
+  }
+  void log(std::string_view line) override { note(kPrint, line); }
+  void fault(std::string_view line) { note(kFatal, line); }
+
+ private:
+  void note(ActionCode code, std::string_view line) {
+    line = line.substr(0, 60000);
+    say(code).text({reinterpret_cast<const std::uint8_t*>(line.data()), line.size()});
+  }
+  Writer& say(ActionCode code) {
+    if (speaking_ != this) {
+      reply_->u8(kSpeaking);
+      reply_->u32(who_);
+      speaking_ = this;
+    }
+    reply_->u8(code);
+    return *reply_;
+  }
+  std::uint32_t who_;
+  Writer*& reply_;
+  const Instance*& speaking_;
+  std::vector<std::uint64_t> addresses_;
+  IndexMap indices_;
+  std::unique_ptr<Router> router_;
+};
+
+Fleet::Fleet() = default;
+Fleet::~Fleet() = default;
+
+void Fleet::handle(double clock_ms, std::uint32_t records, std::span<const std::uint8_t> batch,
+                   Writer& reply) {
+  reply_ = &reply;
+  speaking_ = nullptr;
+  const Instant now = Instant::at_ms(clock_ms);
+  Reader in(batch);
+  Instance* current = nullptr;
+  std::uint32_t who = 0;
+  for (std::uint32_t n = 0; n < records; ++n) {
+    const std::uint8_t code = in.u8();
+    if (code == kSelect) {
+      who = in.u32();
+      auto& place = instances_[who];
+      if (!place) place = std::make_unique<Instance>(who, reply_, speaking_);
+      current = place.get();
+    } else if (code == kSheet) {
+      const std::uint8_t buffer = in.u8();
+      if (buffer >= sheets_.size()) in.fail("list buffer " + std::to_string(buffer) + " out of range");
+      const auto rows = in.bytes(std::size_t{in.u32()} * kEntryBytes);
+      sheets_[buffer].assign(rows.begin(), rows.end());
+    } else {
+      if (code == 0 || code > kSelect) in.fail("unknown event code " + std::to_string(code));
+      if (!current) in.fail("event before any Select");
+      one_event(in, code, *current, now);
+    }
+  }
+  if (!in.done()) in.fail("bytes left over after the last record");
+}
+
+void Fleet::one_event(Reader& in, std::uint8_t code, Instance& to, Instant now) {
+  const auto read_report = [&] {
+    report_.resize(in.u8());
+    for (float& v : report_) v = in.f32();
+  };
+  // Fields are read in full before the call: a record is decoded even where nobody is left to hear it.
+  const auto call = [&](auto&& deliver) {
+    if (!to.running()) return;
+    try {
+      deliver(to.router());
+    } catch (const std::exception& e) {
+      to.fault(e.what());
+    }
+  };
+  switch (code) {
+    case kStart: {
+      const std::uint64_t seed = in.u64();
+      const auto text = in.bytes(in.u32());
+      to.start(read_terms({reinterpret_cast<const char*>(text.data()), text.size()}), seed);
+      call([&](Router& r) { r.started(now); });
+      break;
+    }
+    case kRosterChange: {
+      const std::uint8_t mode = in.u8();
+      in.u32();
+      const std::uint8_t buffer = in.u8();
+      if (mode > 3) in.fail("unknown list mode " + std::to_string(mode));
+      if (mode == 3) {
+        call([&](Router& r) { r.list_failed(now); });
+        break;
+      }
+      if (buffer >= sheets_.size()) in.fail("list buffer " + std::to_string(buffer) + " out of range");
+      call([&](Router& r) {
+        r.list_begin(now, mode != 0);
+        Reader rows(sheets_[buffer]);
+        while (!rows.done()) {
+          const HostIndex host = to.index_of(rows.address());
+          const std::uint8_t zone = rows.u8();
+          const float build = rows.f32();
+          const std::uint8_t kind = rows.u8();
+          const std::uint16_t cell = rows.u16();
+          const std::uint8_t state = rows.u8();
+          rows.f32();
+          const double start = rows.f64();
+          r.list_host(host, state == 1 ? HostState::kReady : state == 2 ? HostState::kDraining : HostState::kGone,
+                      static_cast<BuildId>(std::lround(build)), zone, cell, kind,
+                      start > 0 ? Instant::at_ms(start) : Instant());
+        }
+        r.list_end(now);
+      });
+      break;
+    }
+    case kAccept: {
+      const HitId hit = in.u32();
+      const std::uint8_t bits = in.u8();
+      const double give_up = in.f64();
+      const double hint = in.f64();
+      const std::uint16_t customer = in.u16();
+      const std::uint64_t key = in.u64();
+      const std::uint8_t group = in.u8();
+      call([&](Router& r) {
+        r.taken(now, hit, group, customer, key, Instant::at_ms(give_up), (bits & 1U) != 0 ? hint : 0);
+      });
+      break;
+    }
+    case kOpened: {
+      const HitId hit = in.u32();
+      const std::uint8_t leg = in.u8();
+      in.address();
+      in.f64();
+      call([&](Router& r) { r.opened(now, hit, leg); });
+      break;
+    }
+    case kResponse: {
+      const HitId hit = in.u32();
+      const std::uint8_t leg = in.u8();
+      const std::uint64_t host = in.address();
+      const Result result = result_of(in.u16(), in);
+      const double took = in.f64();
+      const bool terminal = in.u8() != 0;
+      read_report();
+      if (!to.knows(host)) break;
+      call([&](Router& r) {
+        r.ended(now, hit, leg, to.index_of(host), result, Span::ms(took), terminal, report_);
+      });
+      break;
+    }
+    case kExpired: {
+      const HitId hit = in.u32();
+      call([&](Router& r) { r.client_left(now, hit); });
+      break;
+    }
+    case kWake: {
+      const std::uint64_t token = in.u64();
+      call([&](Router& r) { r.woken(now, token); });
+      break;
+    }
+    case kChecked: {
+      const bool answered = in.u16() == 200;
+      const std::uint64_t host = in.address();
+      in.f64();
+      read_report();
+      if (!to.knows(host)) break;
+      call([&](Router& r) { r.load_told(now, to.index_of(host), answered, report_); });
+      break;
+    }
+    case kMessage: {
+      const std::uint32_t peer = in.u32();
+      const auto text = in.bytes(in.u16());
+      call([&](Router& r) { r.peer_told(now, peer, text); });
+      break;
+    }
+    case kHalt:
+      to.halt();
+      break;
+    case kReleaseState: {
+      const std::uint16_t build = in.u16();
+      const std::uint8_t stage = in.u8();
+      const std::uint8_t phase = in.u8();
+      const bool asked = in.u8() != 0;
+      const Answer answer = answer_of(in.u16(), in);
+      const float cap = in.f32();
+      const double age = in.f64();
+      if (phase > 3) in.fail("unknown release phase " + std::to_string(phase));
+      call([&](Router& r) {
+        r.stage_told(now, build, stage, static_cast<Phase>(phase), asked, answer, static_cast<double>(cap),
+                     Span::ms(age));
+      });
+      break;
+    }
+    case kMetrics: {
+      const double mean = in.f64();
+      const std::uint16_t build = in.u16();
+      const std::uint32_t count = in.u32();
+      const std::uint32_t lost = in.u32();
+      const double age = in.f64();
+      const std::uint8_t group = in.u8();
+      call([&](Router& r) { r.tally_told(now, build, group, count, lost, Span::ms(mean), Span::ms(age)); });
+      break;
+    }
+    case kDisputed: {
+      const std::uint64_t host = in.address();
+      const std::uint8_t group = in.u8();
+      const double since = in.f64();
+      if (!to.knows(host)) break;
+      call([&](Router& r) { r.answer_disputed(now, to.index_of(host), group, Span::ms(since)); });
+      break;
+    }
+    default: in.fail("unknown event code " + std::to_string(code));
+  }
+}
+
+}  // namespace ashbeam::simhost
--- /dev/null
+++ b/tests/choice_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
