--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -905,7 +905,7 @@
     if (host.state != HostState::kReady) continue;
     // A host that takes hits and answers none: its silence counts as failures, one for each long wait.
     const Span silence = now - std::max(host.last_answer, host.open_since);
-    if (host.open > 0 && silence > Span::ms(std::max(300.0, 3 * groups_[0].mean_ms * host.slowness))) {
+    if (host.open > 0 && silence > Span::ms(std::max(1000.0, 6 * groups_[0].mean_ms * host.slowness))) {
       host.last_answer = now;
       weigh(h, true);
     }
