--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -335,6 +335,12 @@
 void Choice::stage_told(Instant now, BuildId build, unsigned stage, Phase phase, bool answers_vote, Answer answer,
                         double cap, Span age) {
   now_ = now;
+  if (answers_vote && answer != Answer::kTaken) {
+    // No news with it. Void, full or failed: nothing stands. No answer: it may stand, so it is cast again.
+    standing_ = Vote::kNone;
+    next_vote_ = now + vote_gap_ * (1 + 2 * chance_.unit());
+    return;
+  }
   if (told_ && build < build_) return;
   if (!told_ || build != build_) fresh_build(build);
   if (stage != stage_ || phase != phase_ || !told_) {
@@ -351,11 +357,6 @@
   stage_ = stage;
   phase_ = phase;
   cap_ = cap;
-  if (answers_vote && answer != Answer::kTaken) {
-    // Void, full or failed: nothing stands. No answer: it may, so it is cast again, soon but not at once.
-    standing_ = Vote::kNone;
-    next_vote_ = now + (answer == Answer::kVoid ? vote_gap_ : vote_gap_ * (1 + 2 * chance_.unit()));
-  }
   list_end(now);
 }
 
