--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -21,13 +21,13 @@
 namespace {
 
 // The design's marks.
-constexpr double kFirstShare = 0.3, kShareStep = 0.1;
+constexpr double kFirstShare = 0.3, kShareStep = 0.2;
 constexpr Span kQuietStep = Span::s(1), kQuietForOn = Span::s(2), kPastNewestStart = Span::s(3);
 constexpr double kFewOutcomes = 20;
 constexpr double kModeratePoints = 0.02, kSeverePoints = 0.05, kModerateFails = 3, kSevereFails = 5;
 constexpr double kModerateSlow = 1.25;
 // Ours: a slow build convicts itself only by lasting harm, far above the moderate mark.
-constexpr double kLastingSlow = 1.5, kLastingOutcomes = 40;
+constexpr double kLastingSlow = 1.6, kLastingOutcomes = 40;
 constexpr Span kLasting = Span::s(3);
 // Wrong answers reach us as a sample of reports: how many it takes, and the part of answers they stand for.
 constexpr double kFewReports = 3, kWrongPart = 0.03;
@@ -130,7 +130,7 @@
     HitId id = 0;
     bool live = false, done = false;  // live: in a place of the slab; done: finally answered
     unsigned group = 0, legs = 0;
-    bool over_share = false;
+    double patience = 1;  // the part of its time that may be predicted to pass: more for what is worth more
     std::uint64_t key = 0;
     Instant taken_at, late_at, give_up_at;
     std::array<Forward, kMostLegs> leg;
@@ -144,6 +144,7 @@
     DropGroup drop;
     Span target, memory;
     bool late_counts;
+    double benefit;
     double mean_ms;  // learnt mean latency at warm hosts
     SlidingCount taken, on_trial;
   };
@@ -207,7 +208,7 @@
   bool must_ask_, may_cancel_, may_copy_, by_group_, one_way_, clocked_, rolling_;
   int active_column_;
   Span longest_retry_after_, cold_window_, warm_after_, tick_, window_, vote_life_, vote_gap_, answer_wait_;
-  double cold_multiple_, start_capacity_, cross_price_, first_cap_, spare_, reported_share_;
+  double cold_multiple_, start_capacity_, cross_price_, over_share_worth_, first_cap_, spare_, reported_share_;
   std::vector<double> rings_;
   unsigned closed_stages_;
   // What is out there.
@@ -237,7 +238,7 @@
   IndexMap places_, pins_;
   std::vector<std::uint32_t> key_hits_;
   IndexMap key_index_;
-  double taken_total_ = 0, further_ = kFurtherMost;
+  double best_worth_ = 0, taken_total_ = 0, further_ = kFurtherMost;
   SlidingCount all_taken_;
 };
 
@@ -249,10 +250,10 @@
       cold_window_(t.cold_window), warm_after_(t.warm_after), tick_(t.tick), window_(t.window),
       vote_life_(t.vote_life), vote_gap_(Span::s(2.0 * t.routers / std::max(t.votes_per_s, 1.0))),
       answer_wait_(t.answer_wait), cold_multiple_(t.cold_multiple), start_capacity_(t.start_capacity),
-      cross_price_(t.cross_price), first_cap_(t.caps.front()), spare_(t.spare),
+      cross_price_(t.cross_price), over_share_worth_(t.over_share_worth), first_cap_(t.caps.front()), spare_(t.spare),
       reported_share_(t.reported_share), rings_(t.rings), closed_stages_(t.closed_stages) {
   for (const PathGroup& g : t.path_groups) {
-    groups_.push_back({g.repeats, g.group, g.target, g.memory, g.late_worth > 0, g.target.ms() / 6, {}, {}});
+    groups_.push_back({g.repeats, g.group, g.target, g.memory, g.late_worth > 0, g.benefit, g.target.ms() / 6, {}, {}});
   }
   for (const double per_s : t.customer_per_s) customers_.push_back({per_s / t.routers, per_s / t.routers});
   if (!t.retry_after) longest_retry_after_ = Span();
@@ -623,9 +624,8 @@
 // The part of hits that is drawn for the trial: the share of what its machines should carry, within the cap.
 double Choice::trial_part() {
   if (trial_ready_ == 0) return 0;
-  const double fleet = static_cast<double>(rolling_ ? trial_ready_ + earlier_ready_
-                                                    : std::max(trial_ready_, earlier_ready_));
-  return share_ * std::min(cap_, static_cast<double>(trial_ready_) / fleet);
+  const double even = static_cast<double>(trial_ready_) / static_cast<double>(trial_ready_ + earlier_ready_);
+  return share_ * std::min(cap_, even);  // loads alike on both sides, so that their times can be compared
 }
 
 // ---- Picking a host ----
@@ -724,11 +724,14 @@
   hit.taken_at = now;
   hit.give_up_at = give_up_at - kFinish;
   hit.late_at = std::min(now + groups_[group].target, hit.give_up_at);
+  double worth = groups_[group].benefit / groups_[group].mean_ms;
+  best_worth_ = std::max(best_worth_ * 0.999, worth);
   if (customer < customers_.size()) {
     Customer& c = customers_[customer];
-    hit.over_share = c.tokens < 1;
-    if (!hit.over_share) c.tokens -= 1;
+    if (c.tokens < 1) worth *= over_share_worth_;
+    else c.tokens -= 1;
   }
+  hit.patience = 0.25 + 0.5 * worth / best_worth_;
   groups_[group].taken.add(now);
   all_taken_.add(now);
   taken_total_ += 1;
@@ -761,7 +764,7 @@
   }
   // Taken only if predicted in time; hits beyond a customer's share are the first to go.
   const double room = groups_[hit.group].late_counts ? (hit.give_up_at - now_).ms() : left;
-  if (to.predicted_ms > room * (hit.over_share ? 0.5 : 1.2) && may_bounce(hit)) {
+  if (to.predicted_ms > room * hit.patience && may_bounce(hit)) {
     give_up(hit);
     return;
   }
