--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -39,6 +39,7 @@
 constexpr Span kBeat = Span::ms(20), kJudgeEvery = Span::ms(250), kFinish = Span::ms(12);
 constexpr double kFurtherPart = 0.2, kFurtherMost = 20;
 constexpr unsigned kMostLegs = 8;
+constexpr double kFreeLoad = 2;  // hits a host works on side by side, roughly: from there latency grows with load
 constexpr std::uint64_t kBeatToken = 1, kAskToken = 2;
 constexpr std::size_t kSamples = 64;
 constexpr double kFade = 160;  // outcomes after which older ones count half
@@ -46,7 +47,7 @@
 struct Forward {
   HostIndex host = 0;
   Instant sent;
-  double predicted_ms = 0;
+  double predicted_ms = 0, load = 0;
   bool out = false, may_have_run = false;
 };
 
@@ -69,7 +70,7 @@
   unsigned open = 0;
   double reported = -1, open_at_report = 0;  // hits at the host by its last report, and ours among them
   Instant reported_at;
-  double slowness = 1, load_then = 0;  // latency against its path group's, and the load it was seen at
+  double unit_ms = 0;                  // learnt latency for each hit at the host, of the mean path group
   double suspicion = 0;                // log-likelihood ratio of sick against good
   bool ejected = false;
   std::vector<Count> by_group;
@@ -166,6 +167,7 @@
   bool ready_for_on();
   double trial_part();
   // picking
+  double load_of(const Host& host) const;
   double predicted(const Hit& hit, HostIndex h) const;
   Pick pick(const Hit& hit, Side side, double share);
   bool fit(const Host& host) const;
@@ -238,7 +240,7 @@
   IndexMap places_, pins_;
   std::vector<std::uint32_t> key_hits_;
   IndexMap key_index_;
-  double best_worth_ = 0, taken_total_ = 0, further_ = kFurtherMost;
+  double mean_ms_ = 0, usual_unit_ms_ = 0, best_worth_ = 0, taken_total_ = 0, further_ = kFurtherMost;
   SlidingCount all_taken_;
 };
 
@@ -256,6 +258,8 @@
     groups_.push_back({g.repeats, g.group, g.target, g.memory, g.late_worth > 0, g.benefit, g.target.ms() / 6, {}, {}});
   }
   for (const double per_s : t.customer_per_s) customers_.push_back({per_s / t.routers, per_s / t.routers});
+  for (const GroupFigures& g : groups_) mean_ms_ += g.mean_ms / static_cast<double>(groups_.size());
+  usual_unit_ms_ = mean_ms_ / kFreeLoad;
   if (!t.retry_after) longest_retry_after_ = Span();
   samples_.resize(2 * kinds_ * groups_.size());
   tally_.resize(2 * groups_.size());
@@ -394,9 +398,13 @@
   if (result != Result::kOk && result != Result::kCancelled && result != Result::kTimeout) return;
   const double ms = took.ms();
   if (result != Result::kOk && ms < f.predicted_ms) return;  // called off early: says nothing of speed
-  host.slowness += 0.1 * (std::min(ms / group.mean_ms, 20.0) - host.slowness);
+  const double unit = ms * mean_ms_ / group.mean_ms / (kFreeLoad + f.load);
+  if (host.unit_ms <= 0) host.unit_ms = usual_unit_ms_;
+  host.unit_ms += 0.1 * (std::min(unit, host.unit_ms * 10) - host.unit_ms);
   if (!warm(host)) return;
+  usual_unit_ms_ += 0.01 * (std::min(unit, usual_unit_ms_ * 10) - usual_unit_ms_);
   group.mean_ms += 0.02 * (std::min(ms, group.mean_ms * 10) - group.mean_ms);
+  mean_ms_ += 0.02 * (std::min(ms, mean_ms_ * 10) - mean_ms_);
   if (host.build <= build_) {
     samples(side(host), host.kind, hit.group).add({static_cast<float>(ms), f.host});
   }
@@ -630,13 +638,17 @@
 
 // ---- Picking a host ----
 
+// Hits at the host: our own open ones, and what a fresh report says of others'.
+double Choice::load_of(const Host& host) const {
+  const double own = host.open;
+  if (host.reported < 0 || now_ - host.reported_at > Span::s(1.5)) return own;
+  return std::max(own, host.reported + own - host.open_at_report);
+}
+
 double Choice::predicted(const Hit& hit, HostIndex h) const {
   const Host& host = hosts_[h];
-  double load = host.open;
-  if (host.reported >= 0 && now_ - host.reported_at < Span::s(1.5)) {
-    load = std::max(load, host.reported + host.open - host.open_at_report);
-  }
-  double ms = groups_[hit.group].mean_ms * host.slowness * (2 + load) / (2 + host.load_then);
+  const double unit = host.unit_ms > 0 ? host.unit_ms : usual_unit_ms_;
+  double ms = groups_[hit.group].mean_ms / mean_ms_ * unit * (kFreeLoad + load_of(host));
   if (!warm(host)) {
     const double grown = std::clamp((now_ - host.last_start) / warm_after_, 0.0, 1.0);
     ms /= start_capacity_ + (1 - start_capacity_) * grown;
@@ -773,9 +785,8 @@
 
 void Choice::send(Hit& hit, Pick to) {
   Host& host = hosts_[to.host];
-  hit.leg[hit.legs++] = {to.host, now_, to.predicted_ms, true, true};
+  hit.leg[hit.legs++] = {to.host, now_, to.predicted_ms, load_of(host), true, true};
   if (host.open++ == 0) host.open_since = now_;
-  host.load_then += 0.1 * (host.open - 1 - host.load_then);
   host.forwards.add(now_);
   if (on_trial(host.build)) groups_[by_group_ ? hit.group : 0].on_trial.add(now_);
   sink_.forward(hit.id, to.host, Span());
@@ -909,7 +920,8 @@
     if (host.state != HostState::kReady) continue;
     // A host that takes hits and answers none: its silence counts as failures, one for each long wait.
     const Span silence = now - std::max(host.last_answer, host.open_since);
-    if (host.open > 0 && silence > Span::ms(std::max(1000.0, 6 * groups_[0].mean_ms * host.slowness))) {
+    if (host.open == 0 && silence > Span::s(1)) host.unit_ms *= 0.995;  // old news of a slow host fades
+    if (host.open > 0 && silence > Span::ms(std::max(1000.0, 6 * host.unit_ms * (kFreeLoad + host.open)))) {
       host.last_answer = now;
       weigh(h, true);
     }
