--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -29,6 +29,7 @@
 // Ours: a slow build convicts itself only by lasting harm, far above the moderate mark.
 constexpr double kLastingSlow = 1.6, kLastingOutcomes = 40;
 constexpr Span kLasting = Span::s(3);
+constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.3;  // all hosts' latency for a hit at the host, against before
 // Wrong answers reach us as a sample of reports: how many it takes, and the part of answers they stand for.
 constexpr double kFewReports = 3, kWrongPart = 0.03;
 // The sequential test of a host: good hosts fail this rarely, sick ones fail this much more than their build.
@@ -65,7 +66,7 @@
   bool in_list = false;
   BuildId build = 0;
   unsigned zone = 0, cell = 0, kind = 0;
-  Instant last_start, last_answer, open_since, rest_until;
+  Instant last_start, last_answer, last_ok, open_since, rest_until;
   Span rest = kFirstRest;
   unsigned open = 0;
   double reported = -1, open_at_report = 0;  // hits at the host by its last report, and ours among them
@@ -240,7 +241,7 @@
   IndexMap places_, pins_;
   std::vector<std::uint32_t> key_hits_;
   IndexMap key_index_;
-  double mean_ms_ = 0, usual_unit_ms_ = 0, best_worth_ = 0, taken_total_ = 0, further_ = kFurtherMost;
+  double mean_ms_ = 0, usual_unit_ms_ = 0, recent_unit_ms_ = 0, calm_unit_ms_ = 0, best_worth_ = 0, taken_total_ = 0, further_ = kFurtherMost;
   SlidingCount all_taken_;
 };
 
@@ -259,7 +260,7 @@
   }
   for (const double per_s : t.customer_per_s) customers_.push_back({per_s / t.routers, per_s / t.routers});
   for (const GroupFigures& g : groups_) mean_ms_ += g.mean_ms / static_cast<double>(groups_.size());
-  usual_unit_ms_ = mean_ms_ / kFreeLoad;
+  recent_unit_ms_ = usual_unit_ms_ = mean_ms_ / kFreeLoad;
   if (!t.retry_after) longest_retry_after_ = Span();
   samples_.resize(2 * kinds_ * groups_.size());
   tally_.resize(2 * groups_.size());
@@ -397,11 +398,14 @@
   if (result == Result::kOk) host.answers += 1;
   if (result != Result::kOk && result != Result::kCancelled && result != Result::kTimeout) return;
   const double ms = took.ms();
-  if (result != Result::kOk && ms < f.predicted_ms) return;  // called off early: says nothing of speed
+  if (result == Result::kOk) host.last_ok = now_;
+  // Called off early it says nothing of speed; and where the host answers nobody, it is the host that is sick.
+  if (result != Result::kOk && (ms < f.predicted_ms || host.last_ok <= f.sent)) return;
   const double unit = ms * mean_ms_ / group.mean_ms / (kFreeLoad + f.load);
   if (host.unit_ms <= 0) host.unit_ms = usual_unit_ms_;
   host.unit_ms += 0.1 * (std::min(unit, host.unit_ms * 10) - host.unit_ms);
   if (!warm(host)) return;
+  recent_unit_ms_ += 0.03 * (std::min(unit, recent_unit_ms_ * 10) - recent_unit_ms_);
   usual_unit_ms_ += 0.01 * (std::min(unit, usual_unit_ms_ * 10) - usual_unit_ms_);
   group.mean_ms += 0.02 * (std::min(ms, group.mean_ms * 10) - group.mean_ms);
   mean_ms_ += 0.02 * (std::min(ms, mean_ms_ * 10) - mean_ms_);
@@ -540,10 +544,14 @@
     log("severe: trial %.0f of %.0f failed, earlier %.3f", trial.failed, trial.all, earlier.rate());
     return harm;
   }
-  if (slow(kModerateSlow, kFewOutcomes)) {
+  // Departure: a build that slows old and new hosts alike shows only against the times before it came. Covers
+  // any harm in step with the trial that comparing builds hides; does harm where a jam falls on a trial.
+  const double all_slow = calm_unit_ms_ > 0 && phase_ == Phase::kTrial ? recent_unit_ms_ / calm_unit_ms_ : 1;
+  if (all_slow > kAllSlow || slow(kModerateSlow, kFewOutcomes)) {
     // Departure: moderate harm that lasts, far above its mark, is severe: votes alone can end it.
-    if (harm_from_ > Instant() && now_ - harm_from_ >= kLasting && slow(kLastingSlow, kLastingOutcomes)) {
-      log("slow for %.1f s: times above %.2f x the earlier median", (now_ - harm_from_).s(), kLastingSlow);
+    if (harm_from_ > Instant() && now_ - harm_from_ >= kLasting &&
+        (all_slow > kAllSlowLasting || slow(kLastingSlow, kLastingOutcomes))) {
+      log("slow for %.1f s: all hosts %.2f x before the trial", (now_ - harm_from_).s(), all_slow);
       return Harm::kSevere;
     }
     harm = Harm::kModerate;
@@ -561,6 +569,7 @@
   }
   std::fill(samples_.begin() + static_cast<std::ptrdiff_t>(samples_.size() / 2), samples_.end(), Samples{});
   std::fill(tally_.begin() + static_cast<std::ptrdiff_t>(groups_.size()), tally_.end(), Count{});
+  calm_unit_ms_ = told_ ? usual_unit_ms_ : 0;
   build_ = build;
   share_ = kFirstShare;
   braked_ = stepped_back_ = false;
