--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -30,6 +30,7 @@
 constexpr double kLastingSlow = 1.6, kLastingOutcomes = 40;
 constexpr Span kLasting = Span::s(3);
 constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.3;  // all hosts' latency for a hit at the host, against before
+constexpr Span kTroubleFades = Span::s(8);  // hosts lost from outside explain slowness for so long
 // Wrong answers reach us as a sample of reports: how many it takes, and the part of answers they stand for.
 constexpr double kFewReports = 3, kWrongPart = 0.03;
 // The sequential test of a host: good hosts fail this rarely, sick ones fail this much more than their build.
@@ -226,7 +227,7 @@
   unsigned stage_ = 0;
   Phase phase_ = Phase::kReleased;
   double cap_ = 0, share_ = kFirstShare;
-  Instant stage_since_, quiet_from_, full_from_, harm_from_, next_judge_, newest_start_;
+  Instant stage_since_, quiet_from_, full_from_, harm_from_, next_judge_, newest_start_, last_trouble_;
   bool braked_ = false, stepped_back_ = false, held_ = false;
   std::size_t trial_ready_ = 0, earlier_ready_ = 0;
   double past_fail_rate_ = 0;
@@ -390,6 +391,7 @@
   Host& host = hosts_[f.host];
   GroupFigures& group = groups_[hit.group];
   if (result == Result::kFull || result == Result::kMoot) return;
+  if (result == Result::kNoConnect || result == Result::kReset) last_trouble_ = now_;
   const bool failed = result != Result::kOk && result != Result::kCancelled;
   if (result != Result::kCancelled) weigh(f.host, failed);
   if (f.sent < host.last_start) return;
@@ -432,6 +434,7 @@
   if (host.suspicion < kEject || (alone && on_trial(host.build))) return;  // a lone trial host: the build is judged
   host.suspicion = kEject - 2.5;  // one more failure after its rest ejects it again
   host.ejected = true;
+  last_trouble_ = now_;
   host.rest_until = now_ + host.rest * (0.8 + 0.4 * chance_.unit());
   host.rest = std::min(host.rest * 2, kLongestRest);
   log("host %u out for %.1f s: build %u, others of it fail %.3f", h, (host.rest_until - now_).s(), host.build,
@@ -546,7 +549,8 @@
   }
   // Departure: a build that slows old and new hosts alike shows only against the times before it came. Covers
   // any harm in step with the trial that comparing builds hides; does harm where a jam falls on a trial.
-  const double all_slow = calm_unit_ms_ > 0 && phase_ == Phase::kTrial ? recent_unit_ms_ / calm_unit_ms_ : 1;
+  const double all_slow = calm_unit_ms_ > 0 && phase_ == Phase::kTrial && now_ - last_trouble_ > kTroubleFades
+                              ? recent_unit_ms_ / calm_unit_ms_ : 1;
   if (all_slow > kAllSlow || slow(kModerateSlow, kFewOutcomes)) {
     // Departure: moderate harm that lasts, far above its mark, is severe: votes alone can end it.
     if (harm_from_ > Instant() && now_ - harm_from_ >= kLasting &&
