--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -14,6 +14,7 @@
 
 #include "base/index_map.hpp"
 #include "base/pcg.hpp"
+#include "base/recent.hpp"
 #include "base/slab.hpp"
 #include "base/sliding_count.hpp"
 
@@ -29,7 +30,7 @@
 // Ours: a slow build convicts itself only by lasting harm, far above the moderate mark.
 constexpr double kLastingSlow = 1.6, kLastingOutcomes = 40;
 constexpr Span kLasting = Span::s(3);
-constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.3;  // all hosts' latency for a hit at the host, against before
+constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.8;  // all hosts' latency for a hit at the host, against before
 constexpr Span kTroubleFades = Span::s(8);  // hosts lost from outside explain slowness for so long
 // Wrong answers reach us as a sample of reports: how many it takes, and the part of answers they stand for.
 constexpr double kFewReports = 3, kWrongPart = 0.03;
@@ -67,7 +68,7 @@
   bool in_list = false;
   BuildId build = 0;
   unsigned zone = 0, cell = 0, kind = 0;
-  Instant last_start, last_answer, last_ok, open_since, rest_until;
+  Instant last_start, last_heard, last_ok, open_since, rest_until;
   Span rest = kFirstRest;
   unsigned open = 0;
   double reported = -1, open_at_report = 0;  // hits at the host by its last report, and ours among them
@@ -85,15 +86,7 @@
   HostIndex host = 0;
 };
 
-struct Samples {
-  std::array<Sample, kSamples> ring;
-  std::size_t n = 0, at = 0;
-  void add(Sample s) {
-    ring[at] = s;
-    at = (at + 1) % kSamples;
-    n = std::min(n + 1, kSamples);
-  }
-};
+using Samples = Recent<Sample, kSamples>;
 
 struct Pick {
   HostIndex host = IndexMap::kNone;
@@ -160,7 +153,7 @@
   void weigh(HostIndex h, bool failed);
   Harm failures(Count& trial, Count& earlier);
   Harm tally_harm() const;
-  bool slow(double mark, double least) ;
+  bool slow(double mark, double least);
   Harm judge();
   // share and votes
   void step_share();
@@ -242,7 +235,7 @@
   IndexMap places_, pins_;
   std::vector<std::uint32_t> key_hits_;
   IndexMap key_index_;
-  double mean_ms_ = 0, usual_unit_ms_ = 0, recent_unit_ms_ = 0, calm_unit_ms_ = 0, best_worth_ = 0, taken_total_ = 0, further_ = kFurtherMost;
+  double mean_ms_ = 0, usual_unit_ms_ = 0, recent_unit_ms_ = 0, calm_unit_ms_ = 0, calm_ready_ = 0, best_worth_ = 0, taken_total_ = 0, further_ = kFurtherMost;
   SlidingCount all_taken_;
 };
 
@@ -292,7 +285,7 @@
     host.open = open;
     host.forwards = std::move(forwards);
     host.by_group.resize(groups_.size());
-    host.last_answer = now_;
+    host.last_heard = now_;
   }
   host.in_list = true;
   host.state = state;
@@ -434,7 +427,6 @@
   if (host.suspicion < kEject || (alone && on_trial(host.build))) return;  // a lone trial host: the build is judged
   host.suspicion = kEject - 2.5;  // one more failure after its rest ejects it again
   host.ejected = true;
-  last_trouble_ = now_;
   host.rest_until = now_ + host.rest * (0.8 + 0.4 * chance_.unit());
   host.rest = std::min(host.rest * 2, kLongestRest);
   log("host %u out for %.1f s: build %u, others of it fail %.3f", h, (host.rest_until - now_).s(), host.build,
@@ -503,13 +495,13 @@
   for (unsigned kind = 0; kind < kinds_; ++kind) {
     for (unsigned g = 0; g < groups_.size(); ++g) {
       const Samples &e = samples(Side::kEarlier, kind, g), &t = samples(Side::kTrial, kind, g);
-      if (e.n < 10) continue;
-      for (std::size_t i = 0; i < e.n; ++i) sorted[i] = e.ring[i].ms;
-      std::nth_element(sorted.begin(), sorted.begin() + e.n / 2, sorted.begin() + e.n);
-      const double line = mark * static_cast<double>(sorted[e.n / 2]);
-      for (std::size_t i = 0; i < t.n; ++i) {
-        seen[t.ring[i].host].first += 1;
-        seen[t.ring[i].host].second += static_cast<double>(t.ring[i].ms) > line;
+      if (e.size() < kFewOutcomes / 2) continue;
+      float* const end = std::transform(e.begin(), e.end(), sorted.data(), [](const Sample& s) { return s.ms; });
+      float* const middle = sorted.data() + e.size() / 2;
+      std::nth_element(sorted.data(), middle, end);
+      for (const Sample& s : t) {
+        seen[s.host].first += 1;
+        seen[s.host].second += static_cast<double>(s.ms) > mark * static_cast<double>(*middle);
       }
     }
   }
@@ -549,7 +541,8 @@
   }
   // Departure: a build that slows old and new hosts alike shows only against the times before it came. Covers
   // any harm in step with the trial that comparing builds hides; does harm where a jam falls on a trial.
-  const double all_slow = calm_unit_ms_ > 0 && phase_ == Phase::kTrial && now_ - last_trouble_ > kTroubleFades
+  const double all_slow = calm_unit_ms_ > 0 && phase_ == Phase::kTrial && now_ - last_trouble_ > kTroubleFades &&
+                                  static_cast<double>(ready_) > 0.9 * calm_ready_
                               ? recent_unit_ms_ / calm_unit_ms_ : 1;
   if (all_slow > kAllSlow || slow(kModerateSlow, kFewOutcomes)) {
     // Departure: moderate harm that lasts, far above its mark, is severe: votes alone can end it.
@@ -574,6 +567,7 @@
   std::fill(samples_.begin() + static_cast<std::ptrdiff_t>(samples_.size() / 2), samples_.end(), Samples{});
   std::fill(tally_.begin() + static_cast<std::ptrdiff_t>(groups_.size()), tally_.end(), Count{});
   calm_unit_ms_ = told_ ? usual_unit_ms_ : 0;
+  calm_ready_ = static_cast<double>(ready_);
   build_ = build;
   share_ = kFirstShare;
   braked_ = stepped_back_ = false;
@@ -895,7 +889,7 @@
   f.may_have_run = result != Result::kFull && result != Result::kNoConnect && result != Result::kMoot;
   Host& host = hosts_[h];
   host.open -= host.open > 0;
-  host.last_answer = now;
+  host.last_heard = now;
   load_told(now, h, true, report);
   learn(hit, f, result, took);
   if (result == Result::kOk && one_way_ && hit.key != 0 && host.build >= build_) {
@@ -932,12 +926,10 @@
     Host& host = hosts_[h];
     if (host.state != HostState::kReady) continue;
     // A host that takes hits and answers none: its silence counts as failures, one for each long wait.
-    const Span silence = now - std::max(host.last_answer, host.open_since);
+    const Span silence = now - std::max(host.last_heard, host.open_since);
     if (host.open == 0 && silence > Span::s(1)) host.unit_ms *= 0.995;  // old news of a slow host fades
-    if (host.open > 0 && silence > Span::ms(std::max(1000.0, 6 * host.unit_ms * (kFreeLoad + host.open)))) {
-      host.last_answer = now;
-      weigh(h, true);
-    }
+    const Span usual = Span::ms(host.unit_ms * (kFreeLoad + host.open));
+    if (host.open > 0 && silence > std::max(Span::ms(800), usual * 4)) host.last_heard = now, weigh(h, true);
     if (host.ejected && now >= host.rest_until && host.suspicion <= 0) {
       host.ejected = false;
       host.rest = kFirstRest;
