--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -30,7 +30,8 @@
 // Ours: a slow build convicts itself only by lasting harm, far above the moderate mark.
 constexpr double kLastingSlow = 1.6, kLastingOutcomes = 40;
 constexpr Span kLasting = Span::s(3);
-constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.8;  // all hosts' latency for a hit at the host, against before
+constexpr double kAllSlow = 1.8,
+                 kAllSlowLasting = 2.8;     // all hosts' latency for a hit at the host, against before
 constexpr Span kTroubleFades = Span::s(8);  // hosts lost from outside explain slowness for so long
 // Wrong answers reach us as a sample of reports: how many it takes, and the part of answers they stand for.
 constexpr double kFewReports = 3, kWrongPart = 0.03;
@@ -42,9 +43,10 @@
 constexpr Span kBeat = Span::ms(20), kJudgeEvery = Span::ms(250), kFinish = Span::ms(12);
 constexpr double kFurtherPart = 0.2, kFurtherMost = 20;
 constexpr unsigned kMostLegs = 8;
-constexpr double kFreeLoad = 2;  // hits a host works on side by side, roughly: from there latency grows with load
+constexpr double kFreeLoad =
+    2;  // hits a host works on side by side, roughly: from there latency grows with load
 constexpr std::uint64_t kBeatToken = 1, kAskToken = 2;
-constexpr std::size_t kSamples = 64;
+constexpr std::size_t kSamples = 96;
 constexpr double kFade = 160;  // outcomes after which older ones count half
 
 struct Forward {
@@ -73,8 +75,8 @@
   unsigned open = 0;
   double reported = -1, open_at_report = 0;  // hits at the host by its last report, and ours among them
   Instant reported_at;
-  double unit_ms = 0;                  // learnt latency for each hit at the host, of the mean path group
-  double suspicion = 0;                // log-likelihood ratio of sick against good
+  double unit_ms = 0;    // learnt latency for each hit at the host, of the mean path group
+  double suspicion = 0;  // log-likelihood ratio of sick against good
   bool ejected = false;
   std::vector<Count> by_group;
   double answers = 0, disputed = 0;
@@ -98,30 +100,6 @@
 enum class Side : std::uint8_t { kEarlier, kTrial, kAny };
 
 class Choice final : public Router {
- public:
-  Choice(const Terms& terms, std::uint64_t seed, Sink& sink);
-  void started(Instant now) override;
-  void list_begin(Instant now, bool whole) override;
-  void list_host(HostIndex host, HostState state, BuildId build, unsigned zone, unsigned cell, unsigned kind,
-                 Instant last_start) override;
-  void list_end(Instant now) override;
-  void list_failed(Instant now) override;
-  void taken(Instant now, HitId hit, unsigned path_group, unsigned customer, std::uint64_t key,
-             Instant give_up_at, double work_hint_ms) override;
-  void ended(Instant now, HitId hit, unsigned leg, HostIndex host, Result result, Span took, bool terminal,
-             std::span<const float> report) override;
-  void opened(Instant now, HitId hit, unsigned leg) override;
-  void client_left(Instant now, HitId hit) override;
-  void woken(Instant now, std::uint64_t token) override;
-  void load_told(Instant now, HostIndex host, bool answered, std::span<const float> report) override;
-  void stage_told(Instant now, BuildId build, unsigned stage, Phase phase, bool answers_vote, Answer answer,
-                  double cap, Span age) override;
-  void tally_told(Instant now, BuildId build, unsigned path_group, std::uint32_t count, std::uint32_t lost,
-                  Span mean, Span age) override;
-  void answer_disputed(Instant now, HostIndex host, unsigned path_group, Span since_sent) override;
-  void peer_told(Instant now, unsigned peer, std::span<const std::uint8_t> bytes) override;
-
- private:
   struct Hit {
     HitId id = 0;
     bool live = false, done = false;  // live: in a place of the slab; done: finally answered
@@ -148,882 +126,863 @@
     double per_s, tokens;
   };
 
-  // judging
-  void learn(Hit& hit, const Forward& f, Result result, Span took);
-  void weigh(HostIndex h, bool failed);
-  Harm failures(Count& trial, Count& earlier);
-  Harm tally_harm() const;
-  bool slow(double mark, double least);
-  Harm judge();
-  // share and votes
-  void step_share();
-  void fresh_build(BuildId build);
-  void cast(Vote vote);
-  bool ready_for_on();
-  double trial_part();
-  // picking
-  double load_of(const Host& host) const;
-  double predicted(const Hit& hit, HostIndex h) const;
-  Pick pick(const Hit& hit, Side side, double share);
-  bool fit(const Host& host) const;
-  Pick choose(const Hit& hit);
-  // steps
-  void route(Hit& hit);
-  void send(Hit& hit, Pick to);
-  void after_forward(Hit& hit, Result result);
-  void second_chance(Hit& hit);
-  void give_up(Hit& hit);
-  void over(Hit& hit);
-  void drop_if_over(Hit& hit);
-  Span retry_after();
-  // guards
-  bool on_trial(BuildId build) const;
-  bool exposure_allows(unsigned group, BuildId build, double share);
-  bool cold_allows(Host& host);
-  bool may_forward(const Hit& hit, HostIndex h, double share);
-  bool may_bounce(const Hit& hit) const;
-  bool may_have_run(const Hit& hit) const;
-  bool warm(const Host& host) const { return now_ - host.last_start >= warm_after_; }
-  Side side(const Host& host) const { return host.build >= build_ ? Side::kTrial : Side::kEarlier; }
-  Samples& samples(Side s, unsigned kind, unsigned group) {
-    return samples_[((s == Side::kTrial ? kinds_ : 0) + kind) * groups_.size() + group];
-  }
-  template <class... Figures>
-  void log(const char* form, Figures... figures) {
-    char line[160];
-    const int n = std::snprintf(line, sizeof line, form, figures...);
-    sink_.log({line, static_cast<std::size_t>(std::clamp(n, 0, 159))});
+ public:
+  void clock(Instant now) override { now_ = now; }
+
+  Choice(const Terms& t, std::uint64_t seed, Sink& sink)
+      : sink_(sink), chance_(seed), zone_(t.zone), kinds_(t.kinds),
+        max_forwards_(std::min(t.max_forwards, kMostLegs)), must_ask_(t.must_ask), may_cancel_(t.may_cancel),
+        may_copy_(t.may_copy), by_group_(t.by_path_group), one_way_(t.one_way), clocked_(t.clocked),
+        rolling_(t.rolling), active_column_(t.active_column), longest_retry_after_(t.longest_retry_after),
+        cold_window_(t.cold_window), warm_after_(t.warm_after), tick_(t.tick), window_(t.window),
+        vote_life_(t.vote_life), vote_gap_(Span::s(2.0 * t.routers / std::max(t.votes_per_s, 1.0))),
+        start_capacity_(t.start_capacity), cross_price_(t.cross_price), over_share_worth_(t.over_share_worth),
+        first_cap_(t.caps.front()), spare_(t.spare), reported_share_(t.reported_share), rings_(t.rings),
+        closed_stages_(t.closed_stages) {
+    for (const PathGroup& g : t.path_groups) {
+      groups_.push_back(
+          {g.repeats, g.group, g.target, g.memory, g.late_worth > 0, g.benefit, g.target.ms() / 6, {}, {}});
+    }
+    for (const double per_s : t.customer_per_s) customers_.push_back({per_s / t.routers, per_s / t.routers});
+    for (const GroupFigures& g : groups_) mean_ms_ += g.mean_ms / static_cast<double>(groups_.size());
+    recent_unit_ms_ = usual_unit_ms_ = mean_ms_ / kFreeLoad;
+    if (!t.retry_after) longest_retry_after_ = Span();
+    samples_.resize(2 * kinds_ * groups_.size());
+    tally_.resize(2 * groups_.size());
   }
 
-  Sink& sink_;
-  Pcg chance_;
-  Instant now_;
-  // Figures derived from the terms.
-  std::vector<GroupFigures> groups_;
-  std::vector<Customer> customers_;
-  unsigned zone_, kinds_, max_forwards_;
-  bool must_ask_, may_cancel_, may_copy_, by_group_, one_way_, clocked_, rolling_;
-  int active_column_;
-  Span longest_retry_after_, cold_window_, warm_after_, tick_, window_, vote_life_, vote_gap_, answer_wait_;
-  double cold_multiple_, start_capacity_, cross_price_, over_share_worth_, first_cap_, spare_, reported_share_;
-  std::vector<double> rings_;
-  unsigned closed_stages_;
-  // What is out there.
-  std::vector<Host> hosts_;
-  std::vector<HostIndex> own_, other_;  // scratch for picking
-  bool whole_list_ = false;
-  Span ask_wait_ = Span::ms(300);
-  std::size_t ready_ = 0, ejected_ = 0;
-  // The build on trial.
-  bool told_ = false;
-  BuildId build_ = 0;
-  unsigned stage_ = 0;
-  Phase phase_ = Phase::kReleased;
-  double cap_ = 0, share_ = kFirstShare;
-  Instant stage_since_, quiet_from_, full_from_, harm_from_, next_judge_, newest_start_, last_trouble_;
-  bool braked_ = false, stepped_back_ = false, held_ = false;
-  std::size_t trial_ready_ = 0, earlier_ready_ = 0;
-  double past_fail_rate_ = 0;
-  std::vector<Samples> samples_;
-  std::vector<Count> tally_;  // earlier builds', then the trial's, by path group
-  // Our vote.
-  Vote standing_ = Vote::kNone;
-  unsigned standing_stage_ = 0;
-  Instant voted_at_, next_vote_;
-  // Hits and keys.
-  Slab<Hit> hits_;
-  IndexMap places_, pins_;
-  std::vector<std::uint32_t> key_hits_;
-  IndexMap key_index_;
-  double mean_ms_ = 0, usual_unit_ms_ = 0, recent_unit_ms_ = 0, calm_unit_ms_ = 0, calm_ready_ = 0, best_worth_ = 0, taken_total_ = 0, further_ = kFurtherMost;
-  SlidingCount all_taken_;
-};
+  // ---- News ----
 
-Choice::Choice(const Terms& t, std::uint64_t seed, Sink& sink)
-    : sink_(sink), chance_(seed), zone_(t.zone), kinds_(t.kinds),
-      max_forwards_(std::min(t.max_forwards, kMostLegs)), must_ask_(t.must_ask), may_cancel_(t.may_cancel),
-      may_copy_(t.may_copy), by_group_(t.by_path_group), one_way_(t.one_way), clocked_(t.clocked),
-      rolling_(t.rolling), active_column_(t.active_column), longest_retry_after_(t.longest_retry_after),
-      cold_window_(t.cold_window), warm_after_(t.warm_after), tick_(t.tick), window_(t.window),
-      vote_life_(t.vote_life), vote_gap_(Span::s(2.0 * t.routers / std::max(t.votes_per_s, 1.0))),
-      answer_wait_(t.answer_wait), cold_multiple_(t.cold_multiple), start_capacity_(t.start_capacity),
-      cross_price_(t.cross_price), over_share_worth_(t.over_share_worth), first_cap_(t.caps.front()), spare_(t.spare),
-      reported_share_(t.reported_share), rings_(t.rings), closed_stages_(t.closed_stages) {
-  for (const PathGroup& g : t.path_groups) {
-    groups_.push_back({g.repeats, g.group, g.target, g.memory, g.late_worth > 0, g.benefit, g.target.ms() / 6, {}, {}});
+  void started() override {
+    quiet_from_ = full_from_ = stage_since_ = now_;
+    sink_.wake(kBeat, kBeatToken);
+    if (must_ask_) sink_.follow_list();
   }
-  for (const double per_s : t.customer_per_s) customers_.push_back({per_s / t.routers, per_s / t.routers});
-  for (const GroupFigures& g : groups_) mean_ms_ += g.mean_ms / static_cast<double>(groups_.size());
-  recent_unit_ms_ = usual_unit_ms_ = mean_ms_ / kFreeLoad;
-  if (!t.retry_after) longest_retry_after_ = Span();
-  samples_.resize(2 * kinds_ * groups_.size());
-  tally_.resize(2 * groups_.size());
-}
-
-// ---- News ----
-
-void Choice::started(Instant now) {
-  now_ = quiet_from_ = full_from_ = stage_since_ = now;
-  sink_.wake(kBeat, kBeatToken);
-  if (must_ask_) sink_.follow_list();
-}
-
-void Choice::list_begin(Instant now, bool whole) {
-  now_ = now;
-  whole_list_ = whole;
-  for (Host& host : hosts_) host.in_list = !whole && host.in_list;
-}
 
-void Choice::list_host(HostIndex h, HostState state, BuildId build, unsigned zone, unsigned cell, unsigned kind,
-                       Instant last_start) {
-  if (h >= hosts_.size()) hosts_.resize(h + 1);
-  Host& host = hosts_[h];
-  if (host.build != build || host.last_start != last_start || host.by_group.empty()) {
-    const unsigned open = host.open;  // another process: what was learnt of the last one says nothing
-    SlidingCount forwards = std::move(host.forwards);
-    host = Host{};
-    host.open = open;
-    host.forwards = std::move(forwards);
-    host.by_group.resize(groups_.size());
-    host.last_heard = now_;
+  void list_begin(bool whole) override {
+    for (Host& host : hosts_) host.in_list = !whole && host.in_list;
   }
-  host.in_list = true;
-  host.state = state;
-  host.build = build;
-  host.zone = zone;
-  host.cell = cell;
-  host.kind = std::min(kind, kinds_ - 1);
-  host.last_start = last_start;
-}
 
-void Choice::list_end(Instant now) {
-  now_ = now;
-  ask_wait_ = Span::ms(300);
-  ready_ = trial_ready_ = earlier_ready_ = 0;
-  BuildId lowest = UINT32_MAX;
-  newest_start_ = Instant();
-  for (Host& host : hosts_) {
-    if (!host.in_list) host.state = HostState::kGone;
-    if (host.state != HostState::kReady) continue;
-    ++ready_;
-    lowest = std::min(lowest, host.build);
-  }
-  if (!told_ && ready_ > 0) build_ = lowest;
-  for (const Host& host : hosts_) {
-    if (host.state != HostState::kReady) continue;
-    ++(on_trial(host.build) ? trial_ready_ : earlier_ready_);
-    if (host.build == build_) newest_start_ = std::max(newest_start_, host.last_start);
+  void list_host(HostIndex h, HostState state, BuildId build, unsigned zone, unsigned cell, unsigned kind,
+                 Instant last_start) override {
+    if (h >= hosts_.size()) hosts_.resize(h + 1);
+    Host& host = hosts_[h];
+    if (host.build != build || host.last_start != last_start || host.by_group.empty()) {
+      const unsigned open = host.open;  // another process: what was learnt of the last one says nothing
+      SlidingCount forwards = std::move(host.forwards);
+      host = Host{};
+      host.open = open;
+      host.forwards = std::move(forwards);
+      host.by_group.resize(groups_.size());
+      host.last_heard = now_;
+    }
+    host.in_list = true;
+    host.state = state;
+    host.build = build;
+    host.zone = zone;
+    host.cell = cell;
+    host.kind = std::min(kind, kinds_ - 1);
+    host.last_start = last_start;
+  }
+
+  void list_end() override {
+    ask_wait_ = Span::ms(300);
+    ready_ = trial_ready_ = earlier_ready_ = 0;
+    BuildId lowest = UINT32_MAX;
+    newest_start_ = Instant();
+    for (Host& host : hosts_) {
+      if (!host.in_list) host.state = HostState::kGone;
+      if (host.state != HostState::kReady) continue;
+      ++ready_;
+      lowest = std::min(lowest, host.build);
+    }
+    if (!told_ && ready_ > 0) build_ = lowest;
+    for (const Host& host : hosts_) {
+      if (host.state != HostState::kReady) continue;
+      ++(on_trial(host.build) ? trial_ready_ : earlier_ready_);
+      if (host.build == build_) newest_start_ = std::max(newest_start_, host.last_start);
+    }
   }
-}
 
-// The list could not be had: the old one stands; ask again, later each time and not all routers at once.
-void Choice::list_failed(Instant now) {
-  now_ = now;
-  sink_.wake(ask_wait_ * (0.5 + chance_.unit()), kAskToken);
-  ask_wait_ = std::min(ask_wait_ * 2, Span::s(2));
-}
-
-void Choice::load_told(Instant now, HostIndex h, bool answered, std::span<const float> report) {
-  now_ = now;
-  if (!answered || h >= hosts_.size() || active_column_ < 0) return;
-  if (static_cast<std::size_t>(active_column_) >= report.size()) return;
-  hosts_[h].reported = static_cast<double>(report[static_cast<std::size_t>(active_column_)]);
-  hosts_[h].open_at_report = hosts_[h].open;
-  hosts_[h].reported_at = now;
-}
-
-void Choice::stage_told(Instant now, BuildId build, unsigned stage, Phase phase, bool answers_vote, Answer answer,
-                        double cap, Span age) {
-  now_ = now;
-  if (answers_vote && answer != Answer::kTaken) {
-    // No news with it. Void, full or failed: nothing stands. No answer: it may stand, so it is cast again.
-    standing_ = Vote::kNone;
-    next_vote_ = now + vote_gap_ * (1 + 2 * chance_.unit());
-    return;
+  // The list could not be had: the old one stands; ask again, later each time and not all routers at once.
+  void list_failed() override {
+    sink_.wake(ask_wait_ * (0.5 + chance_.unit()), kAskToken);
+    ask_wait_ = std::min(ask_wait_ * 2, Span::s(2));
   }
-  if (told_ && build < build_) return;
-  if (!told_ || build != build_) fresh_build(build);
-  if (stage != stage_ || phase != phase_ || !told_) {
-    stage_since_ = now - age;
-    if (standing_ == Vote::kOn || standing_ == Vote::kHold) standing_ = Vote::kNone;
-    held_ = false;
-    log("build %u stage %u phase %d cap %.3f share %.2f", build, stage, static_cast<int>(phase), cap, share_);
-  }
-  if (phase == Phase::kReverting || phase == Phase::kWithdrawn) {
-    pins_ = IndexMap();  // the build went back: no key is bound to it any longer
-    standing_ = Vote::kNone;
-  }
-  told_ = true;
-  stage_ = stage;
-  phase_ = phase;
-  cap_ = cap;
-  list_end(now);
-}
 
-void Choice::tally_told(Instant now, BuildId build, unsigned group, std::uint32_t count, std::uint32_t lost, Span,
-                        Span) {
-  now_ = now;
-  if (group >= groups_.size() || build > build_) return;
-  Count& c = tally_[(build == build_ ? groups_.size() : 0) + group];
-  if (c.all > kFade) c.all /= 2, c.failed /= 2;
-  c.all += count;
-  c.failed += lost;
-}
-
-void Choice::answer_disputed(Instant now, HostIndex h, unsigned, Span since_sent) {
-  now_ = now;
-  if (h < hosts_.size() && now - since_sent > hosts_[h].last_start) hosts_[h].disputed += 1;
-}
-
-void Choice::peer_told(Instant now, unsigned, std::span<const std::uint8_t>) { now_ = now; }
-
-// ---- Judging ----
-
-// Takes in a forward's outcome: the host's speed, its health, and the evidence for or against its build.
-void Choice::learn(Hit& hit, const Forward& f, Result result, Span took) {
-  Host& host = hosts_[f.host];
-  GroupFigures& group = groups_[hit.group];
-  if (result == Result::kFull || result == Result::kMoot) return;
-  if (result == Result::kNoConnect || result == Result::kReset) last_trouble_ = now_;
-  const bool failed = result != Result::kOk && result != Result::kCancelled;
-  if (result != Result::kCancelled) weigh(f.host, failed);
-  if (f.sent < host.last_start) return;
-  const bool own_error = result == Result::kError;  // of the build's own making, unlike a broken connection
-  if (warm(host) && (own_error || result == Result::kOk)) host.by_group[hit.group].add(own_error);
-  if (result == Result::kOk) host.answers += 1;
-  if (result != Result::kOk && result != Result::kCancelled && result != Result::kTimeout) return;
-  const double ms = took.ms();
-  if (result == Result::kOk) host.last_ok = now_;
-  // Called off early it says nothing of speed; and where the host answers nobody, it is the host that is sick.
-  if (result != Result::kOk && (ms < f.predicted_ms || host.last_ok <= f.sent)) return;
-  const double unit = ms * mean_ms_ / group.mean_ms / (kFreeLoad + f.load);
-  if (host.unit_ms <= 0) host.unit_ms = usual_unit_ms_;
-  host.unit_ms += 0.1 * (std::min(unit, host.unit_ms * 10) - host.unit_ms);
-  if (!warm(host)) return;
-  recent_unit_ms_ += 0.03 * (std::min(unit, recent_unit_ms_ * 10) - recent_unit_ms_);
-  usual_unit_ms_ += 0.01 * (std::min(unit, usual_unit_ms_ * 10) - usual_unit_ms_);
-  group.mean_ms += 0.02 * (std::min(ms, group.mean_ms * 10) - group.mean_ms);
-  mean_ms_ += 0.02 * (std::min(ms, mean_ms_ * 10) - mean_ms_);
-  if (host.build <= build_) {
-    samples(side(host), host.kind, hit.group).add({static_cast<float>(ms), f.host});
+  void load_told(HostIndex h, bool answered, std::span<const float> report) override {
+    if (!answered || h >= hosts_.size() || active_column_ < 0) return;
+    if (static_cast<std::size_t>(active_column_) >= report.size()) return;
+    hosts_[h].reported = static_cast<double>(report[static_cast<std::size_t>(active_column_)]);
+    hosts_[h].open_at_report = hosts_[h].open;
+    hosts_[h].reported_at = now_;
   }
-}
 
-// The sequential test: is this host sick, against good hosts and against its own build's failures?
-void Choice::weigh(HostIndex h, bool failed) {
-  Host& host = hosts_[h];
-  Count others;
-  bool alone = true;
-  for (HostIndex i = 0; i < hosts_.size(); ++i) {
-    const Host& o = hosts_[i];
-    if (i == h || o.state != HostState::kReady || o.build != host.build || o.ejected) continue;
-    alone = false;
-    for (const Count& c : o.by_group) others.all += c.all, others.failed += c.failed;
+  void stage_told(BuildId build, unsigned stage, Phase phase, bool answers_vote, Answer answer, double cap,
+                  Span age) override {
+    if (answers_vote && answer != Answer::kTaken) {
+      // No news with it. Void, full or failed: nothing stands. No answer: it may stand, so it is cast again.
+      standing_ = Vote::kNone;
+      next_vote_ = now_ + vote_gap_ * (1 + 2 * chance_.unit());
+      return;
+    }
+    if (told_ && build < build_) return;
+    if (!told_ || build != build_) fresh_build(build);
+    if (stage != stage_ || phase != phase_ || !told_) {
+      stage_since_ = now_ - age;
+      if (standing_ == Vote::kOn || standing_ == Vote::kHold) standing_ = Vote::kNone;
+      held_ = false;
+      log("build %u stage %u phase %d cap %.3f share %.2f", build, stage, static_cast<int>(phase), cap,
+          share_);
+    }
+    if (phase == Phase::kReverting || phase == Phase::kWithdrawn) {
+      pins_ = IndexMap();  // the build went back: no key is bound to it any longer
+      standing_ = Vote::kNone;
+    }
+    told_ = true;
+    stage_ = stage;
+    phase_ = phase;
+    cap_ = cap;
+    list_end();
+  }
+
+  void tally_told(BuildId build, unsigned group, std::uint32_t count, std::uint32_t lost, Span,
+                  Span) override {
+    if (group >= groups_.size() || build > build_) return;
+    Count& c = tally_[(build == build_ ? groups_.size() : 0) + group];
+    if (c.all > kFade) c.all /= 2, c.failed /= 2;
+    c.all += count;
+    c.failed += lost;
+  }
+
+  void answer_disputed(HostIndex h, unsigned, Span since_sent) override {
+    if (h < hosts_.size() && now_ - since_sent > hosts_[h].last_start) hosts_[h].disputed += 1;
+  }
+
+  void peer_told(unsigned, std::span<const std::uint8_t>) override {}
+
+  // ---- Judging ----
+
+  // Takes in a forward's outcome: the host's speed, its health, and the evidence for or against its build.
+  void learn(Hit& hit, const Forward& f, Result result, Span took) {
+    Host& host = hosts_[f.host];
+    GroupFigures& group = groups_[hit.group];
+    if (result == Result::kFull || result == Result::kMoot) return;
+    if (result == Result::kNoConnect || result == Result::kReset) last_trouble_ = now_;
+    const bool failed = result != Result::kOk && result != Result::kCancelled;
+    if (result != Result::kCancelled) weigh(f.host, failed);
+    if (f.sent < host.last_start) return;
+    const bool own_error = result == Result::kError;  // of the build's own making, unlike a broken connection
+    if (warm(host) && (own_error || result == Result::kOk)) host.by_group[hit.group].add(own_error);
+    if (result == Result::kOk) host.answers += 1;
+    if (result != Result::kOk && result != Result::kCancelled && result != Result::kTimeout) return;
+    const double ms = took.ms();
+    if (result == Result::kOk) host.last_ok = now_;
+    // Called off early it says nothing of speed; and where the host answers nobody, it is the host that is
+    // sick.
+    if (result != Result::kOk && (ms < f.predicted_ms || host.last_ok <= f.sent)) return;
+    const double unit = ms * mean_ms_ / group.mean_ms / (kFreeLoad + f.load);
+    if (host.unit_ms <= 0) host.unit_ms = usual_unit_ms_;
+    host.unit_ms += 0.1 * (std::min(unit, host.unit_ms * 10) - host.unit_ms);
+    if (!warm(host)) return;
+    recent_unit_ms_ += 0.03 * (std::min(unit, recent_unit_ms_ * 10) - recent_unit_ms_);
+    usual_unit_ms_ += 0.01 * (std::min(unit, usual_unit_ms_ * 10) - usual_unit_ms_);
+    group.mean_ms += 0.02 * (std::min(ms, group.mean_ms * 10) - group.mean_ms);
+    mean_ms_ += 0.02 * (std::min(ms, mean_ms_ * 10) - mean_ms_);
+    if (host.build <= build_) {
+      samples(side(host), host.kind, hit.group).add({static_cast<float>(ms), f.host});
+    }
   }
-  const double good = std::clamp(others.rate(), kGoodFails, 0.5);
-  const double sick = good + kSickMore;
-  host.suspicion += failed ? std::log(sick / good) : std::log((1 - sick) / (1 - good));
-  host.suspicion = std::clamp(host.suspicion, kTrust, kEject + 1);
-  if (host.suspicion < kEject || (alone && on_trial(host.build))) return;  // a lone trial host: the build is judged
-  host.suspicion = kEject - 2.5;  // one more failure after its rest ejects it again
-  host.ejected = true;
-  host.rest_until = now_ + host.rest * (0.8 + 0.4 * chance_.unit());
-  host.rest = std::min(host.rest * 2, kLongestRest);
-  log("host %u out for %.1f s: build %u, others of it fail %.3f", h, (host.rest_until - now_).s(), host.build,
-      others.rate());
-}
 
-// Failures of the trial against the earlier builds, by path group and pooled. A single sick host must not
-// convict a build: with two hosts or more the worst one is left out.
-Harm Choice::failures(Count& trial, Count& earlier) {
-  HostIndex worst = IndexMap::kNone;
-  double most = 0;
-  unsigned tried = 0;
-  for (HostIndex h = 0; h < hosts_.size(); ++h) {
-    const Host& host = hosts_[h];
-    if (host.state == HostState::kGone || host.build != build_) continue;
-    double failed = 0, all = 0;
-    for (const Count& c : host.by_group) failed += c.failed, all += c.all;
-    tried += all > 0;
-    if (failed > most) most = failed, worst = h;
-  }
-  Harm harm = Harm::kQuiet;
-  for (std::size_t g = 0; g <= groups_.size(); ++g) {
-    Count t, e;
+  // The sequential test: is this host sick, against good hosts and against its own build's failures?
+  void weigh(HostIndex h, bool failed) {
+    Host& host = hosts_[h];
+    Count others;
+    bool alone = true;
+    for (HostIndex i = 0; i < hosts_.size(); ++i) {
+      const Host& o = hosts_[i];
+      if (i == h || o.state != HostState::kReady || o.build != host.build || o.ejected) continue;
+      alone = false;
+      for (const Count& c : o.by_group) others.all += c.all, others.failed += c.failed;
+    }
+    const double good = std::clamp(others.rate(), kGoodFails, 0.5);
+    const double sick = good + kSickMore;
+    host.suspicion += failed ? std::log(sick / good) : std::log((1 - sick) / (1 - good));
+    host.suspicion = std::clamp(host.suspicion, kTrust, kEject + 1);
+    if (host.suspicion < kEject || (alone && on_trial(host.build)))
+      return;                       // a lone trial host: the build is judged
+    host.suspicion = kEject - 2.5;  // one more failure after its rest ejects it again
+    host.ejected = true;
+    host.rest_until = now_ + host.rest * (0.8 + 0.4 * chance_.unit());
+    host.rest = std::min(host.rest * 2, kLongestRest);
+    log("host %u out for %.1f s: build %u, others of it fail %.3f", h, (host.rest_until - now_).s(),
+        host.build, others.rate());
+  }
+
+  // The design's marks for failures, and beyond what chance makes of failures that strike both sides alike.
+  static Harm marks(const Count& trial, double base) {
+    const double more = trial.rate() - base, chance = 2 * std::sqrt(base * trial.all);
+    if (trial.failed - base * trial.all < chance) return Harm::kQuiet;
+    if (more >= kSeverePoints && trial.failed >= kSevereFails) return Harm::kSevere;
+    return more >= kModeratePoints && trial.failed >= kModerateFails ? Harm::kModerate : Harm::kQuiet;
+  }
+
+  // Failures of the trial against the earlier builds, by path group and pooled. A single sick host must not
+  // convict a build: with two hosts or more the worst one is left out.
+  Harm failures(Count& trial, Count& earlier) {
+    HostIndex worst = IndexMap::kNone;
+    double most = 0;
+    unsigned tried = 0;
     for (HostIndex h = 0; h < hosts_.size(); ++h) {
       const Host& host = hosts_[h];
-      if (host.state == HostState::kGone || host.build > build_) continue;
-      if (host.ejected || (tried > 1 && h == worst)) continue;
-      Count& sum = side(host) == Side::kTrial ? t : e;
-      for (std::size_t i = 0; i < groups_.size(); ++i) {
-        if (g != groups_.size() && i != g) continue;
-        sum.all += host.by_group[i].all, sum.failed += host.by_group[i].failed;
-      }
+      if (host.state == HostState::kGone || host.build != build_) continue;
+      double failed = 0, all = 0;
+      for (const Count& c : host.by_group) failed += c.failed, all += c.all;
+      tried += all > 0;
+      if (failed > most) most = failed, worst = h;
     }
-    const bool pooled = g == groups_.size();
-    const double base = e.all >= kFewOutcomes ? e.rate() : std::max(e.rate(), past_fail_rate_);
-    if (pooled) {
-      if (e.all >= kFewOutcomes) past_fail_rate_ = e.rate();
-      trial = t, earlier = e;
+    Harm harm = Harm::kQuiet;
+    for (std::size_t g = 0; g <= groups_.size(); ++g) {
+      Count t, e;
+      for (HostIndex h = 0; h < hosts_.size(); ++h) {
+        const Host& host = hosts_[h];
+        if (host.state == HostState::kGone || host.build > build_) continue;
+        if (host.ejected || (tried > 1 && h == worst)) continue;
+        Count& sum = side(host) == Side::kTrial ? t : e;
+        for (std::size_t i = 0; i < groups_.size(); ++i) {
+          if (g != groups_.size() && i != g) continue;
+          sum.all += host.by_group[i].all, sum.failed += host.by_group[i].failed;
+        }
+      }
+      const bool pooled = g == groups_.size();
+      const double base = e.all >= kFewOutcomes ? e.rate() : std::max(e.rate(), past_fail_rate_);
+      if (pooled) {
+        if (e.all >= kFewOutcomes) past_fail_rate_ = e.rate();
+        trial = t, earlier = e;
+      }
+      if (t.all < (pooled ? kFewOutcomes : kFewOutcomes / 2)) continue;
+      harm = std::max(harm, marks(t, base));
     }
-    if (t.all < (pooled ? kFewOutcomes : kFewOutcomes / 2)) continue;
-    const double more = t.rate() - base;
-    if (more >= kSeverePoints && t.failed >= kSevereFails) harm = Harm::kSevere;
-    else if (more >= kModeratePoints && t.failed >= kModerateFails) harm = std::max(harm, Harm::kModerate);
+    return trial.all < kFewOutcomes ? Harm::kQuiet : harm;
   }
-  return trial.all < kFewOutcomes ? Harm::kQuiet : harm;
-}
 
-// With too few outcomes of our own the platform's tally stands in, where there is one.
-Harm Choice::tally_harm() const {
-  Harm harm = Harm::kQuiet;
-  for (std::size_t g = 0; g < groups_.size(); ++g) {
-    const Count &e = tally_[g], &t = tally_[groups_.size() + g];
-    if (t.all < kFewOutcomes || e.all < kFewOutcomes) continue;
-    const double more = t.rate() - e.rate();
-    if (more >= kSeverePoints && t.failed >= kSevereFails) return Harm::kSevere;
-    if (more >= kModeratePoints && t.failed >= kModerateFails) harm = Harm::kModerate;
+  // With too few outcomes of our own the platform's tally stands in, where there is one.
+  Harm tally_harm() const {
+    Harm harm = Harm::kQuiet;
+    for (std::size_t g = 0; g < groups_.size(); ++g) {
+      const Count &e = tally_[g], &t = tally_[groups_.size() + g];
+      if (t.all < kFewOutcomes || e.all < kFewOutcomes) continue;
+      harm = std::max(harm, marks(t, e.rate()));
+    }
+    return harm;
   }
-  return harm;
-}
 
-// A sign test: do clearly more than half of the trial's times lie above `mark` times the earlier median for
-// like machines and path group? The worst host is left out, as for failures.
-bool Choice::slow(double mark, double least) {
-  std::array<float, kSamples> sorted;
-  std::vector<std::pair<unsigned, unsigned>> seen(hosts_.size());
-  for (unsigned kind = 0; kind < kinds_; ++kind) {
-    for (unsigned g = 0; g < groups_.size(); ++g) {
-      const Samples &e = samples(Side::kEarlier, kind, g), &t = samples(Side::kTrial, kind, g);
-      if (e.size() < kFewOutcomes / 2) continue;
-      float* const end = std::transform(e.begin(), e.end(), sorted.data(), [](const Sample& s) { return s.ms; });
-      float* const middle = sorted.data() + e.size() / 2;
-      std::nth_element(sorted.data(), middle, end);
-      for (const Sample& s : t) {
-        seen[s.host].first += 1;
-        seen[s.host].second += static_cast<double>(s.ms) > mark * static_cast<double>(*middle);
+  // A sign test: do clearly more than half of the trial's times lie above `mark` times the earlier median for
+  // like machines and path group? The worst host is left out, as for failures.
+  bool slow(double mark, double least) {
+    std::array<float, kSamples> sorted;
+    std::vector<std::pair<unsigned, unsigned>> seen(hosts_.size());
+    for (unsigned kind = 0; kind < kinds_; ++kind) {
+      for (unsigned g = 0; g < groups_.size(); ++g) {
+        const Samples &e = samples(Side::kEarlier, kind, g), &t = samples(Side::kTrial, kind, g);
+        if (static_cast<double>(e.size()) < kFewOutcomes / 2) continue;
+        float* const end =
+            std::transform(e.begin(), e.end(), sorted.data(), [](const Sample& s) { return s.ms; });
+        float* const middle = sorted.data() + e.size() / 2;
+        std::nth_element(sorted.data(), middle, end);
+        for (const Sample& s : t) {
+          seen[s.host].first += 1;
+          seen[s.host].second += s.ms > static_cast<float>(mark) * *middle;
+        }
       }
     }
-  }
-  std::pair<unsigned, unsigned> sum{0, 0}, worst{0, 0};
-  unsigned tried = 0;
-  for (const auto& [all, above] : seen) {
-    sum.first += all, sum.second += above;
-    tried += all > 0;
-    if (2 * above > all && 2 * above - all > 2 * worst.second - worst.first) worst = {all, above};
-  }
-  if (tried > 1) sum.first -= worst.first, sum.second -= worst.second;
-  const double n = sum.first, above = sum.second;
-  return n >= least && above > n / 2 + std::sqrt(n);
-}
-
-Harm Choice::judge() {
-  Count trial, earlier;
-  Harm harm = failures(trial, earlier);
-  if (trial.all < kFewOutcomes) harm = tally_harm();
-  double wrong[2] = {0, 0}, answers[2] = {0, 0};
-  for (const Host& host : hosts_) {
-    if (host.build > build_) continue;
-    wrong[side(host) == Side::kTrial] += host.disputed;
-    answers[side(host) == Side::kTrial] += host.answers;
-  }
-  if (reported_share_ > 0 && wrong[1] >= kFewReports) {
-    const double part = wrong[1] / reported_share_ / std::max(answers[1], 1.0);
-    const double base = wrong[0] / reported_share_ / std::max(answers[0], 1.0);
-    if (part > 2 * base + kWrongPart) {
-      if (harm != Harm::kSevere) log("wrong answers: trial %.3f earlier %.3f reports %.0f", part, base, wrong[1]);
-      return Harm::kSevere;
+    std::pair<unsigned, unsigned> sum{0, 0}, worst{0, 0};
+    unsigned tried = 0;
+    for (const auto& [all, above] : seen) {
+      sum.first += all, sum.second += above;
+      tried += all > 0;
+      if (2 * above > all && 2 * above - all > 2 * worst.second - worst.first) worst = {all, above};
     }
-  }
-  if (harm == Harm::kSevere) {
-    log("severe: trial %.0f of %.0f failed, earlier %.3f", trial.failed, trial.all, earlier.rate());
-    return harm;
-  }
-  // Departure: a build that slows old and new hosts alike shows only against the times before it came. Covers
-  // any harm in step with the trial that comparing builds hides; does harm where a jam falls on a trial.
-  const double all_slow = calm_unit_ms_ > 0 && phase_ == Phase::kTrial && now_ - last_trouble_ > kTroubleFades &&
-                                  static_cast<double>(ready_) > 0.9 * calm_ready_
-                              ? recent_unit_ms_ / calm_unit_ms_ : 1;
-  if (all_slow > kAllSlow || slow(kModerateSlow, kFewOutcomes)) {
-    // Departure: moderate harm that lasts, far above its mark, is severe: votes alone can end it.
-    if (harm_from_ > Instant() && now_ - harm_from_ >= kLasting &&
-        (all_slow > kAllSlowLasting || slow(kLastingSlow, kLastingOutcomes))) {
-      log("slow for %.1f s: all hosts %.2f x before the trial", (now_ - harm_from_).s(), all_slow);
-      return Harm::kSevere;
+    if (tried > 1) sum.first -= worst.first, sum.second -= worst.second;
+    const double n = static_cast<double>(sum.first), above = sum.second;
+    return n >= least && above > n / 2 + std::sqrt(n);
+  }
+
+  Harm judge() {
+    Count trial, earlier;
+    Harm harm = failures(trial, earlier);
+    if (trial.all < kFewOutcomes) harm = tally_harm();
+    double wrong[2] = {0, 0}, answers[2] = {0, 0};
+    for (const Host& host : hosts_) {
+      if (host.build > build_) continue;
+      wrong[side(host) == Side::kTrial] += host.disputed;
+      answers[side(host) == Side::kTrial] += host.answers;
     }
-    harm = Harm::kModerate;
+    if (reported_share_ > 0 && wrong[1] >= kFewReports) {
+      const double part = wrong[1] / reported_share_ / std::max(answers[1], 1.0);
+      const double base = wrong[0] / reported_share_ / std::max(answers[0], 1.0);
+      if (part > 2 * base + kWrongPart) {
+        if (harm != Harm::kSevere)
+          log("wrong answers: trial %.3f earlier %.3f reports %.0f", part, base, wrong[1]);
+        return Harm::kSevere;
+      }
+    }
+    if (harm == Harm::kSevere) {
+      log("severe: trial %.0f of %.0f failed, earlier %.3f", trial.failed, trial.all, earlier.rate());
+      return harm;
+    }
+    // Departure: a build that slows old and new hosts alike shows only against the times before it came.
+    // Covers any harm in step with the trial that comparing builds hides; does harm where a jam falls on a
+    // trial.
+    const double all_slow = calm_unit_ms_ > 0 && phase_ == Phase::kTrial &&
+                                    now_ - last_trouble_ > kTroubleFades &&
+                                    static_cast<double>(ready_) > 0.9 * calm_ready_
+                                ? recent_unit_ms_ / calm_unit_ms_
+                                : 1;
+    if (all_slow > kAllSlow || slow(kModerateSlow, kFewOutcomes)) {
+      // Departure: moderate harm that lasts, far above its mark, is severe: votes alone can end it.
+      if (harm_from_ > Instant() && now_ - harm_from_ >= kLasting &&
+          (all_slow > kAllSlowLasting || slow(kLastingSlow, kLastingOutcomes))) {
+        log("slow for %.1f s: all hosts %.2f x before the trial", (now_ - harm_from_).s(), all_slow);
+        return Harm::kSevere;
+      }
+      harm = Harm::kModerate;
+    }
+    return harm;
   }
-  return harm;
-}
-
-// ---- Share and votes ----
 
-void Choice::fresh_build(BuildId build) {
-  if (told_ && phase_ == Phase::kReleased) {  // the last build is now the earlier one, its times the yardstick
-    std::copy_n(samples_.begin() + static_cast<std::ptrdiff_t>(samples_.size() / 2), samples_.size() / 2,
-                samples_.begin());
-    std::copy_n(tally_.begin() + static_cast<std::ptrdiff_t>(groups_.size()), groups_.size(), tally_.begin());
-  }
-  std::fill(samples_.begin() + static_cast<std::ptrdiff_t>(samples_.size() / 2), samples_.end(), Samples{});
-  std::fill(tally_.begin() + static_cast<std::ptrdiff_t>(groups_.size()), tally_.end(), Count{});
-  calm_unit_ms_ = told_ ? usual_unit_ms_ : 0;
-  calm_ready_ = static_cast<double>(ready_);
-  build_ = build;
-  share_ = kFirstShare;
-  braked_ = stepped_back_ = false;
-  quiet_from_ = full_from_ = now_;
-  harm_from_ = Instant();
-  standing_ = Vote::kNone;
-}
+  // ---- Share and votes ----
 
-void Choice::step_share() {
-  const bool open = told_ && (phase_ == Phase::kTrial || phase_ == Phase::kReleased);
-  if (!open) return;
-  const Harm harm = braked_ ? Harm::kSevere : judge();
-  if (harm == Harm::kSevere) {
-    if (!braked_) log("brake: build %u stage %u share %.2f to 0, voting back", build_, stage_, share_);
-    braked_ = true;
-    share_ = 0;
-    cast(Vote::kBack);
-    return;
-  }
-  if (phase_ == Phase::kReleased) return;
-  if (harm == Harm::kModerate) {
-    if (harm_from_ == Instant()) harm_from_ = now_;
-    if (!stepped_back_) {
-      share_ = std::max(share_ - kShareStep, kShareStep);
-      stepped_back_ = true;
-      log("step back: build %u stage %u share %.2f", build_, stage_, share_);
-      if (clocked_ && !held_) cast(Vote::kHold), held_ = true;
+  void fresh_build(BuildId build) {
+    if (told_ &&
+        phase_ == Phase::kReleased) {  // the last build is now the earlier one, its times the yardstick
+      std::copy_n(samples_.begin() + static_cast<std::ptrdiff_t>(samples_.size() / 2), samples_.size() / 2,
+                  samples_.begin());
+      std::copy_n(tally_.begin() + static_cast<std::ptrdiff_t>(groups_.size()), groups_.size(),
+                  tally_.begin());
     }
+    std::fill(samples_.begin() + static_cast<std::ptrdiff_t>(samples_.size() / 2), samples_.end(), Samples{});
+    std::fill(tally_.begin() + static_cast<std::ptrdiff_t>(groups_.size()), tally_.end(), Count{});
+    calm_unit_ms_ = told_ ? usual_unit_ms_ : 0;
+    calm_ready_ = static_cast<double>(ready_);
+    build_ = build;
+    share_ = kFirstShare;
+    braked_ = stepped_back_ = false;
     quiet_from_ = full_from_ = now_;
-    if (standing_ == Vote::kOn) cast(Vote::kNone);
-    return;
-  }
-  stepped_back_ = false;
-  harm_from_ = Instant();
-  if (trial_ready_ == 0) quiet_from_ = now_;  // nothing to be quiet about yet
-  if (now_ - quiet_from_ >= kQuietStep && share_ < 1) {
-    share_ = std::min(1.0, share_ + kShareStep);
-    quiet_from_ = now_;
-    if (share_ >= 1) log("full share: build %u stage %u", build_, stage_);
-  }
-  if (share_ < 1) full_from_ = now_;
-  if (!clocked_ && ready_for_on()) cast(Vote::kOn);
-}
-
-// Patient: two quiet seconds at the full cap, and three past the newest trial start, of which the stage's
-// clock has then run two.
-bool Choice::ready_for_on() {
-  if (share_ < 1 || now_ - full_from_ < kQuietForOn || trial_ready_ == 0) return false;
-  const Span in_stage = now_ - stage_since_;
-  if (in_stage < kPastNewestStart + Span::s(1) || now_ - newest_start_ < kPastNewestStart) return false;
-  const double places = static_cast<double>(rolling_ ? trial_ready_ + earlier_ready_
-                                                     : std::max(trial_ready_, earlier_ready_));
-  const double due = stage_ < rings_.size() ? rings_[stage_] * places : places;
-  return static_cast<double>(trial_ready_) >= 0.85 * due - 0.5 || in_stage > Span::s(11);
-}
-
-void Choice::cast(Vote vote) {
-  const bool stands = standing_ == vote && (vote == Vote::kBack || standing_stage_ == stage_);
-  if (stands && now_ - voted_at_ < vote_life_ * 0.7) return;
-  if (now_ < next_vote_) return;
-  if (!stands) log("vote %d: build %u stage %u share %.2f", static_cast<int>(vote), build_, stage_, share_);
-  sink_.vote(build_, stage_, vote);
-  standing_ = vote;
-  standing_stage_ = stage_;
-  voted_at_ = now_;
-  next_vote_ = now_ + vote_gap_ * (0.5 + chance_.unit());
-}
-
-// The part of hits that is drawn for the trial: the share of what its machines should carry, within the cap.
-double Choice::trial_part() {
-  if (trial_ready_ == 0) return 0;
-  const double even = static_cast<double>(trial_ready_) / static_cast<double>(trial_ready_ + earlier_ready_);
-  return share_ * std::min(cap_, even);  // loads alike on both sides, so that their times can be compared
-}
-
-// ---- Picking a host ----
-
-// Hits at the host: our own open ones, and what a fresh report says of others'.
-double Choice::load_of(const Host& host) const {
-  const double own = host.open;
-  if (host.reported < 0 || now_ - host.reported_at > Span::s(1.5)) return own;
-  return std::max(own, host.reported + own - host.open_at_report);
-}
-
-double Choice::predicted(const Hit& hit, HostIndex h) const {
-  const Host& host = hosts_[h];
-  const double unit = host.unit_ms > 0 ? host.unit_ms : usual_unit_ms_;
-  double ms = groups_[hit.group].mean_ms / mean_ms_ * unit * (kFreeLoad + load_of(host));
-  if (!warm(host)) {
-    const double grown = std::clamp((now_ - host.last_start) / warm_after_, 0.0, 1.0);
-    ms /= start_capacity_ + (1 - start_capacity_) * grown;
+    harm_from_ = Instant();
+    standing_ = Vote::kNone;
   }
-  return ms;
-}
-
-bool Choice::fit(const Host& host) const {
-  if (!host.ejected) return true;
-  if (static_cast<double>(ejected_) > kMostEjected * static_cast<double>(ready_)) return true;
-  return now_ >= host.rest_until && host.open == 0;
-}
 
-// Two random choices near by and two further off; the further one must win by what the crossing costs.
-Pick Choice::pick(const Hit& hit, Side side, double share) {
-  for (const bool only_fit : {true, false}) {
-    own_.clear(), other_.clear();
-    for (HostIndex h = 0; h < hosts_.size(); ++h) {
-      const Host& host = hosts_[h];
-      if (host.state != HostState::kReady || (only_fit && !fit(host))) continue;
-      if (side != Side::kAny && on_trial(host.build) != (side == Side::kTrial)) continue;
-      if (!may_forward(hit, h, share)) continue;
-      (host.zone == zone_ ? own_ : other_).push_back(h);
+  void step_share() {
+    const bool open = told_ && (phase_ == Phase::kTrial || phase_ == Phase::kReleased);
+    if (!open) return;
+    const Harm harm = braked_ ? Harm::kSevere : judge();
+    if (harm == Harm::kSevere) {
+      if (!braked_) log("brake: build %u stage %u share %.2f to 0, voting back", build_, stage_, share_);
+      braked_ = true;
+      share_ = 0;
+      cast(Vote::kBack);
+      return;
     }
-    Pick best;
-    for (auto* list : {&own_, &other_}) {
-      const double extra = list == &own_ ? 0 : cross_price_ * 4 * groups_[hit.group].target.ms();
-      for (int draw = 0; draw < 2 && !list->empty(); ++draw) {
-        const std::size_t i = chance_.below(static_cast<std::uint32_t>(list->size()));
-        const HostIndex h = (*list)[i];
-        (*list)[i] = list->back();
-        list->pop_back();
-        const double ms = predicted(hit, h) + extra;
-        if (!best || ms < best.predicted_ms) best = {h, ms};
+    if (phase_ == Phase::kReleased) return;
+    if (harm == Harm::kModerate) {
+      if (harm_from_ == Instant()) harm_from_ = now_;
+      if (!stepped_back_) {
+        share_ = std::max(share_ - kShareStep, kShareStep);
+        stepped_back_ = true;
+        log("step back: build %u stage %u share %.2f", build_, stage_, share_);
+        if (clocked_ && !held_) cast(Vote::kHold), held_ = true;
       }
+      quiet_from_ = full_from_ = now_;
+      if (standing_ == Vote::kOn) cast(Vote::kNone);
+      return;
     }
-    if (best) {
-      best.predicted_ms = predicted(hit, best.host);
-      return best;
+    stepped_back_ = false;
+    harm_from_ = Instant();
+    if (trial_ready_ == 0) quiet_from_ = now_;  // nothing to be quiet about yet
+    if (now_ - quiet_from_ >= kQuietStep && share_ < 1) {
+      share_ = std::min(1.0, share_ + kShareStep);
+      quiet_from_ = now_;
+      if (share_ >= 1) log("full share: build %u stage %u", build_, stage_);
     }
+    if (share_ < 1) full_from_ = now_;
+    if (!clocked_ && ready_for_on()) cast(Vote::kOn);
   }
-  return {};
-}
 
-// The draw decides between trial and earlier builds; the other side is asked only where the drawn one has
-// no room or is predicted late. Departure: then the trial may take up to the full cap, and no more.
-Pick Choice::choose(const Hit& hit) {
-  const double part = trial_part();
-  bool drawn = false;
-  if (one_way_ && hit.key != 0) {
-    // The key decides, so that bound keys stay a stable set; keys too popular for the cap wait for a later stage.
-    const std::uint64_t mixed = (hit.key ^ (hit.key >> 32U)) * 0x9e3779b97f4a7c15ULL;
-    const double popular = key_hits_[key_index_.find(hit.key)] / std::max(taken_total_, 50.0);
-    drawn = static_cast<double>(mixed >> 40U) / 16777216.0 < part * 0.9 && (popular < part / 4 || part > 0.6);
-  } else {
-    drawn = chance_.unit() < part;
+  // Patient: two quiet seconds at the full cap, and three past the newest trial start, of which the stage's
+  // clock has then run two.
+  bool ready_for_on() {
+    if (share_ < 1 || now_ - full_from_ < kQuietForOn || trial_ready_ == 0) return false;
+    const Span in_stage = now_ - stage_since_;
+    if (in_stage < kPastNewestStart + Span::s(1) || now_ - newest_start_ < kPastNewestStart) return false;
+    const double places = static_cast<double>(rolling_ ? trial_ready_ + earlier_ready_
+                                                       : std::max(trial_ready_, earlier_ready_));
+    const double due = stage_ < rings_.size() ? rings_[stage_] * places : places;
+    return static_cast<double>(trial_ready_) >= 0.85 * due - 0.5 || in_stage > Span::s(11);
   }
-  const double left = (hit.late_at - now_).ms();
-  Pick first = pick(hit, drawn ? Side::kTrial : Side::kEarlier, share_);
-  if (first && first.predicted_ms <= left * 0.6) return first;
-  const bool hard = !first;
-  const bool trial_open = !braked_ || earlier_ready_ == 0;
-  if (!drawn && !trial_open) return first;
-  const Pick second = pick(hit, drawn ? Side::kEarlier : Side::kTrial, 1.0);
-  if (second && (hard || second.predicted_ms < first.predicted_ms * 0.7)) return second;
-  return first;
-}
 
-// ---- A hit's steps ----
+  void cast(Vote vote) {
+    const bool stands = standing_ == vote && (vote == Vote::kBack || standing_stage_ == stage_);
+    if (stands && now_ - voted_at_ < vote_life_ * 0.7) return;
+    if (now_ < next_vote_) return;
+    if (!stands) log("vote %d: build %u stage %u share %.2f", static_cast<int>(vote), build_, stage_, share_);
+    sink_.vote(build_, stage_, vote);
+    standing_ = vote;
+    standing_stage_ = stage_;
+    voted_at_ = now_;
+    next_vote_ = now_ + vote_gap_ * (0.5 + chance_.unit());
+  }
 
-void Choice::taken(Instant now, HitId id, unsigned group, unsigned customer, std::uint64_t key, Instant give_up_at,
-                   double) {
-  now_ = now;
-  if (group >= groups_.size()) {
-    sink_.error(id);
-    return;
+  // The part of hits that is drawn for the trial: the share of what its machines should carry, within the
+  // cap.
+  double trial_part() {
+    if (trial_ready_ == 0) return 0;
+    const double even =
+        static_cast<double>(trial_ready_) / static_cast<double>(trial_ready_ + earlier_ready_);
+    return share_ * std::min(cap_, even);  // loads alike on both sides, so that their times can be compared
   }
-  const std::uint32_t place = hits_.take();
-  places_.put(id, place);
-  Hit& hit = hits_[place];
-  hit.id = id;
-  hit.live = true;
-  hit.group = group;
-  hit.key = key;
-  hit.taken_at = now;
-  hit.give_up_at = give_up_at - kFinish;
-  hit.late_at = std::min(now + groups_[group].target, hit.give_up_at);
-  double worth = groups_[group].benefit / groups_[group].mean_ms;
-  best_worth_ = std::max(best_worth_ * 0.999, worth);
-  if (customer < customers_.size()) {
-    Customer& c = customers_[customer];
-    if (c.tokens < 1) worth *= over_share_worth_;
-    else c.tokens -= 1;
+
+  // ---- Picking a host ----
+
+  // Hits at the host: our own open ones, and what a fresh report says of others'.
+  double load_of(const Host& host) const {
+    const double own = host.open;
+    if (host.reported < 0 || now_ - host.reported_at > Span::s(1.5)) return own;
+    return std::max(own, host.reported + own - host.open_at_report);
   }
-  hit.patience = 0.25 + 0.5 * worth / best_worth_;
-  groups_[group].taken.add(now);
-  all_taken_.add(now);
-  taken_total_ += 1;
-  further_ = std::min(further_ + kFurtherPart, kFurtherMost);
-  if (one_way_ && key != 0) {
-    std::uint32_t k = key_index_.find(key);
-    if (k == IndexMap::kNone) {
-      k = static_cast<std::uint32_t>(key_hits_.size());
-      key_hits_.push_back(0);
-      key_index_.put(key, k);
+
+  double predicted(const Hit& hit, HostIndex h) const {
+    const Host& host = hosts_[h];
+    const double unit = host.unit_ms > 0 ? host.unit_ms : usual_unit_ms_;
+    double ms = groups_[hit.group].mean_ms / mean_ms_ * unit * (kFreeLoad + load_of(host));
+    if (!warm(host)) {
+      const double grown = std::clamp((now_ - host.last_start) / warm_after_, 0.0, 1.0);
+      ms /= start_capacity_ + (1 - start_capacity_) * grown;
     }
-    ++key_hits_[k];
+    return ms;
+  }
+
+  bool fit(const Host& host) const {
+    if (!host.ejected) return true;
+    if (static_cast<double>(ejected_) > kMostEjected * static_cast<double>(ready_)) return true;
+    return now_ >= host.rest_until && host.open == 0;
   }
-  route(hit);
-}
 
-// Sends the hit on, waits a little for room, or gives it up at once.
-void Choice::route(Hit& hit) {
-  const Pick to = choose(hit);
-  const double left = (hit.late_at - now_).ms();
-  if (!to) {
-    // No host may have it now. It waits only while an answer could still be in time.
-    if (left > groups_[hit.group].mean_ms * 1.5 && now_ < hit.late_at && ready_ > 0) {
-      hit.due = now_ + kBeat;
-      hit.at_due = &Choice::route;
+  // Two random choices near by and two further off; the further one must win by what the crossing costs.
+  Pick pick(const Hit& hit, Side side, double share) {
+    for (const bool only_fit : {true, false}) {
+      own_.clear(), other_.clear();
+      for (HostIndex h = 0; h < hosts_.size(); ++h) {
+        const Host& host = hosts_[h];
+        if (host.state != HostState::kReady || (only_fit && !fit(host))) continue;
+        if (side != Side::kAny && on_trial(host.build) != (side == Side::kTrial)) continue;
+        if (!may_forward(hit, h, share)) continue;
+        (host.zone == zone_ ? own_ : other_).push_back(h);
+      }
+      Pick best;
+      for (auto* list : {&own_, &other_}) {
+        const double extra = list == &own_ ? 0 : cross_price_ * 4 * groups_[hit.group].target.ms();
+        for (int draw = 0; draw < 2 && !list->empty(); ++draw) {
+          const std::size_t i = chance_.below(static_cast<std::uint32_t>(list->size()));
+          const HostIndex h = (*list)[i];
+          (*list)[i] = list->back();
+          list->pop_back();
+          const double ms = predicted(hit, h) + extra;
+          if (!best || ms < best.predicted_ms) best = {h, ms};
+        }
+      }
+      if (best) {
+        best.predicted_ms = predicted(hit, best.host);
+        return best;
+      }
+    }
+    return {};
+  }
+
+  // The draw decides between trial and earlier builds; the other side is asked only where the drawn one has
+  // no room or is predicted late. Departure: then the trial may take up to the full cap, and no more.
+  Pick choose(const Hit& hit) {
+    const double part = trial_part();
+    bool drawn = false;
+    if (one_way_ && hit.key != 0) {
+      // The key decides, so that bound keys stay a stable set; keys too popular for the cap wait for a later
+      // stage.
+      const std::uint64_t mixed = (hit.key ^ (hit.key >> 32U)) * 0x9e3779b97f4a7c15ULL;
+      const double popular = key_hits_[key_index_.find(hit.key)] / std::max(taken_total_, 50.0);
+      drawn =
+          static_cast<double>(mixed >> 40U) / 16777216.0 < part * 0.9 && (popular < part / 4 || part > 0.6);
+    } else {
+      drawn = chance_.unit() < part;
+    }
+    const double left = (hit.late_at - now_).ms();
+    Pick first = pick(hit, drawn ? Side::kTrial : Side::kEarlier, share_);
+    if (first && first.predicted_ms <= left * 0.6) return first;
+    const bool hard = !first;
+    const bool trial_open = !braked_ || earlier_ready_ == 0;
+    if (!drawn && !trial_open) return first;
+    const Pick second = pick(hit, drawn ? Side::kEarlier : Side::kTrial, 1.0);
+    if (second && (hard || second.predicted_ms < first.predicted_ms * 0.7)) return second;
+    return first;
+  }
+
+  // ---- A hit's steps ----
+
+  void taken(HitId id, unsigned group, unsigned customer, std::uint64_t key, Instant give_up_at,
+             double) override {
+    if (group >= groups_.size()) {
+      sink_.error(id);
       return;
     }
-    give_up(hit);
-    return;
-  }
-  // Taken only if predicted in time; hits beyond a customer's share are the first to go.
-  const double room = groups_[hit.group].late_counts ? (hit.give_up_at - now_).ms() : left;
-  if (to.predicted_ms > room * hit.patience && may_bounce(hit)) {
-    give_up(hit);
-    return;
+    const std::uint32_t place = hits_.take();
+    places_.put(id, place);
+    Hit& hit = hits_[place];
+    hit.id = id;
+    hit.live = true;
+    hit.group = group;
+    hit.key = key;
+    hit.taken_at = now_;
+    hit.give_up_at = give_up_at - kFinish;
+    hit.late_at = std::min(now_ + groups_[group].target, hit.give_up_at);
+    double worth = groups_[group].benefit / groups_[group].mean_ms;
+    best_worth_ = std::max(best_worth_ * 0.999, worth);
+    if (customer < customers_.size()) {
+      Customer& c = customers_[customer];
+      if (c.tokens < 1) worth *= over_share_worth_;
+      else c.tokens -= 1;
+    }
+    hit.patience = 0.25 + 0.5 * worth / best_worth_;
+    groups_[group].taken.add(now_);
+    all_taken_.add(now_);
+    taken_total_ += 1;
+    further_ = std::min(further_ + kFurtherPart, kFurtherMost);
+    if (one_way_ && key != 0) {
+      std::uint32_t k = key_index_.find(key);
+      if (k == IndexMap::kNone) {
+        k = static_cast<std::uint32_t>(key_hits_.size());
+        key_hits_.push_back(0);
+        key_index_.put(key, k);
+      }
+      ++key_hits_[k];
+    }
+    route(hit);
+  }
+
+  // Sends the hit on, waits a little for room, or gives it up at once.
+  void route(Hit& hit) {
+    const Pick to = choose(hit);
+    const double left = (hit.late_at - now_).ms();
+    if (!to) {
+      // No host may have it now. It waits only while an answer could still be in time.
+      const bool hope = groups_[hit.group].repeats == Repeats::kRepeatable || !may_have_run(hit);
+      if (hope && left > groups_[hit.group].mean_ms * 1.5 && ready_ > 0) {
+        hit.due = now_ + kBeat;
+        hit.at_due = &Choice::route;
+        return;
+      }
+      give_up(hit);
+      return;
+    }
+    // Taken only if predicted in time; hits beyond a customer's share are the first to go.
+    const double room = groups_[hit.group].late_counts ? (hit.give_up_at - now_).ms() : left;
+    if (to.predicted_ms > room * hit.patience && may_bounce(hit)) {
+      give_up(hit);
+      return;
+    }
+    send(hit, to);
   }
-  send(hit, to);
-}
 
-void Choice::send(Hit& hit, Pick to) {
-  Host& host = hosts_[to.host];
-  hit.leg[hit.legs++] = {to.host, now_, to.predicted_ms, load_of(host), true, true};
-  if (host.open++ == 0) host.open_since = now_;
-  host.forwards.add(now_);
-  if (on_trial(host.build)) groups_[by_group_ ? hit.group : 0].on_trial.add(now_);
-  sink_.forward(hit.id, to.host, Span());
-  hit.at_result = &Choice::after_forward;
-  hit.due = hit.give_up_at;
-  hit.at_due = &Choice::give_up;
-  const GroupFigures& group = groups_[hit.group];
-  if (group.repeats != Repeats::kMutating && hit.legs < max_forwards_ && (may_copy_ || may_cancel_)) {
-    const double target = group.target.ms();
-    const Span patience = Span::ms(std::clamp(3 * to.predicted_ms, 0.35 * target, 0.65 * target));
-    if (now_ + patience < hit.give_up_at) {
-      hit.due = now_ + patience;
-      hit.at_due = &Choice::second_chance;
+  void send(Hit& hit, Pick to) {
+    Host& host = hosts_[to.host];
+    hit.leg[hit.legs++] = {to.host, now_, to.predicted_ms, load_of(host), true, true};
+    if (host.open++ == 0) host.open_since = now_;
+    host.forwards.add(now_);
+    if (on_trial(host.build)) groups_[by_group_ ? hit.group : 0].on_trial.add(now_);
+    sink_.forward(hit.id, to.host, Span());
+    hit.at_result = &Choice::after_forward;
+    hit.due = hit.give_up_at;
+    hit.at_due = &Choice::give_up;
+    const GroupFigures& group = groups_[hit.group];
+    if (group.repeats != Repeats::kMutating && hit.legs < max_forwards_ && (may_copy_ || may_cancel_)) {
+      const double target = group.target.ms();
+      const Span patience = Span::ms(std::clamp(3 * to.predicted_ms, 0.35 * target, 0.65 * target));
+      if (now_ + patience < hit.give_up_at) {
+        hit.due = now_ + patience;
+        hit.at_due = &Choice::second_chance;
+      }
     }
   }
-}
 
-// A forward has taken much longer than predicted: a copy where that is allowed, else it is called off and
-// sent again. Guards against hosts that take hits and answer none; harms under overload, hence the limit.
-void Choice::second_chance(Hit& hit) {
-  hit.due = hit.give_up_at;
-  hit.at_due = &Choice::give_up;
-  if (further_ < 1 || hit.legs >= max_forwards_ || now_ >= hit.late_at) return;
-  const Pick to = choose(hit);
-  if (!to || to.predicted_ms > (hit.late_at - now_).ms()) return;
-  further_ -= 1;
-  if (may_copy_) {
-    send(hit, to);
+  // A forward has taken much longer than predicted: a copy where that is allowed, else it is called off and
+  // sent again. Guards against hosts that take hits and answer none; harms under overload, hence the limit.
+  void second_chance(Hit& hit) {
     hit.due = hit.give_up_at;
     hit.at_due = &Choice::give_up;
-  } else {
-    sink_.cancel(hit.id, hit.legs - 1);
+    if (further_ < 1 || hit.legs >= max_forwards_ || now_ >= hit.late_at) return;
+    const Pick to = choose(hit);
+    if (!to || to.predicted_ms > (hit.late_at - now_).ms()) return;
+    further_ -= 1;
+    if (may_copy_) {
+      send(hit, to);
+      hit.due = hit.give_up_at;
+      hit.at_due = &Choice::give_up;
+    } else {
+      sink_.cancel(hit.id, hit.legs - 1);
+    }
   }
-}
 
-void Choice::after_forward(Hit& hit, Result) {
-  for (unsigned i = 0; i < hit.legs; ++i) {
-    if (hit.leg[i].out) return;  // a copy is still on its way
-  }
-  const bool in_time = now_ + Span::ms(groups_[hit.group].mean_ms * 0.5) < hit.give_up_at;
-  if (!in_time || hit.legs >= max_forwards_ || further_ < 1) {
-    give_up(hit);
-    return;
+  void after_forward(Hit& hit, Result) {
+    for (unsigned i = 0; i < hit.legs; ++i) {
+      if (hit.leg[i].out) return;  // a copy is still on its way
+    }
+    const bool in_time = now_ + Span::ms(groups_[hit.group].mean_ms * 0.5) < hit.give_up_at;
+    if (!in_time || hit.legs >= max_forwards_ || further_ < 1) {
+      give_up(hit);
+      return;
+    }
+    further_ -= 1;
+    route(hit);
   }
-  further_ -= 1;
-  route(hit);
-}
 
-Span Choice::retry_after() {
-  return std::min(longest_retry_after_, Span::ms(150 + 300 * chance_.unit()));
-}
+  Span retry_after() { return std::min(longest_retry_after_, Span::ms(150 + 300 * chance_.unit())); }
 
-// The final answer of a hit that will not be delivered, at once.
-void Choice::give_up(Hit& hit) {
-  if (may_bounce(hit) && now_ < hit.give_up_at) {
-    sink_.bounce(hit.id, retry_after());
-  } else {
-    sink_.error(hit.id);
+  // The final answer of a hit that will not be delivered, at once.
+  void give_up(Hit& hit) {
+    if (may_bounce(hit) && now_ < hit.give_up_at) {
+      sink_.bounce(hit.id, retry_after());
+    } else {
+      sink_.error(hit.id);
+    }
+    over(hit);
   }
-  over(hit);
-}
 
-// Nothing is sent for this hit any more; what is still out is called off and its place kept until it ends.
-void Choice::over(Hit& hit) {
-  hit.done = true;
-  hit.due = Instant::never();
-  for (unsigned i = 0; i < hit.legs; ++i) {
-    if (hit.leg[i].out && may_cancel_) sink_.cancel(hit.id, i);
+  // Nothing is sent for this hit any more; what is still out is called off and its place kept until it ends.
+  void over(Hit& hit) {
+    hit.done = true;
+    hit.due = Instant::never();
+    for (unsigned i = 0; i < hit.legs; ++i) {
+      if (hit.leg[i].out && may_cancel_) sink_.cancel(hit.id, i);
+    }
+    drop_if_over(hit);
   }
-  drop_if_over(hit);
-}
 
-void Choice::drop_if_over(Hit& hit) {
-  if (!hit.done) return;
-  for (unsigned i = 0; i < hit.legs; ++i) {
-    if (hit.leg[i].out) return;
+  void drop_if_over(Hit& hit) {
+    if (!hit.done) return;
+    for (unsigned i = 0; i < hit.legs; ++i) {
+      if (hit.leg[i].out) return;
+    }
+    const std::uint32_t place = places_.find(hit.id);
+    places_.erase(hit.id);
+    hit.live = false;
+    hits_.give_back(place);
   }
-  const std::uint32_t place = places_.find(hit.id);
-  places_.erase(hit.id);
-  hit.live = false;
-  hits_.give_back(place);
-}
 
-void Choice::ended(Instant now, HitId id, unsigned leg, HostIndex h, Result result, Span took, bool terminal,
-                   std::span<const float> report) {
-  now_ = now;
-  const std::uint32_t place = places_.find(id);
-  if (place == IndexMap::kNone || h >= hosts_.size()) return;
-  Hit& hit = hits_[place];
-  if (leg >= hit.legs || !hit.leg[leg].out) return;
-  Forward& f = hit.leg[leg];
-  f.out = false;
-  f.may_have_run = result != Result::kFull && result != Result::kNoConnect && result != Result::kMoot;
-  Host& host = hosts_[h];
-  host.open -= host.open > 0;
-  host.last_heard = now;
-  load_told(now, h, true, report);
-  learn(hit, f, result, took);
-  if (result == Result::kOk && one_way_ && hit.key != 0 && host.build >= build_) {
-    pins_.put(hit.key, std::max(host.build, pins_.find(hit.key) == IndexMap::kNone ? 0 : pins_.find(hit.key)));
-  }
-  if (hit.done) {
-    drop_if_over(hit);
-  } else if (terminal) {
-    over(hit);
-  } else {
-    (this->*hit.at_result)(hit, result);
+  void ended(HitId id, unsigned leg, HostIndex h, Result result, Span took, bool terminal,
+             std::span<const float> report) override {
+    const std::uint32_t place = places_.find(id);
+    if (place == IndexMap::kNone || h >= hosts_.size()) return;
+    Hit& hit = hits_[place];
+    if (leg >= hit.legs || !hit.leg[leg].out) return;
+    Forward& f = hit.leg[leg];
+    f.out = false;
+    f.may_have_run = result != Result::kFull && result != Result::kNoConnect && result != Result::kMoot;
+    Host& host = hosts_[h];
+    host.open -= host.open > 0;
+    host.last_heard = now_;
+    load_told(h, true, report);
+    learn(hit, f, result, took);
+    if (result == Result::kOk && one_way_ && hit.key != 0 && host.build >= build_) {
+      pins_.put(hit.key,
+                std::max(host.build, pins_.find(hit.key) == IndexMap::kNone ? 0 : pins_.find(hit.key)));
+    }
+    if (hit.done) {
+      drop_if_over(hit);
+    } else if (terminal) {
+      over(hit);
+    } else {
+      (this->*hit.at_result)(hit, result);
+    }
   }
-}
 
-void Choice::opened(Instant now, HitId, unsigned) { now_ = now; }
+  void opened(HitId, unsigned) override {}
 
-void Choice::client_left(Instant now, HitId id) {
-  now_ = now;
-  const std::uint32_t place = places_.find(id);
-  if (place != IndexMap::kNone && !hits_[place].done) over(hits_[place]);
-}
+  void client_left(HitId id) override {
+    const std::uint32_t place = places_.find(id);
+    if (place != IndexMap::kNone && !hits_[place].done) over(hits_[place]);
+  }
 
-void Choice::woken(Instant now, std::uint64_t token) {
-  now_ = now;
-  if (token == kAskToken) {
-    sink_.follow_list();
-    return;
+  void woken(std::uint64_t token) override {
+    if (token == kAskToken) {
+      sink_.follow_list();
+      return;
+    }
+    if (token != kBeatToken) return;
+    sink_.wake(kBeat, kBeatToken);
+    for (Customer& c : customers_)
+      c.tokens = std::min(c.tokens + c.per_s * kBeat.s(), std::max(c.per_s, 1.0));
+    ejected_ = 0;
+    for (HostIndex h = 0; h < hosts_.size(); ++h) {
+      Host& host = hosts_[h];
+      if (host.state != HostState::kReady) continue;
+      // A host that takes hits and answers none: its silence counts as failures, one for each long wait.
+      const Span silence = now_ - std::max(host.last_heard, host.open_since);
+      if (host.open == 0 && silence > Span::s(1)) host.unit_ms *= 0.995;  // old news of a slow host fades
+      const Span usual = Span::ms(host.unit_ms * (kFreeLoad + host.open));
+      if (host.open > 0 && silence > std::max(Span::ms(800), usual * 4))
+        host.last_heard = now_, weigh(h, true);
+      if (host.ejected && now_ >= host.rest_until && host.suspicion <= 0) {
+        host.ejected = false;
+        host.rest = kFirstRest;
+        log("host %u back", h);
+      }
+      ejected_ += host.ejected;
+    }
+    for (std::uint32_t place = 0; place < hits_.places(); ++place) {
+      Hit& hit = hits_[place];
+      if (hit.live && !hit.done && hit.due <= now_) (this->*hit.at_due)(hit);
+    }
+    if (now_ < next_judge_) return;
+    next_judge_ = now_ + kJudgeEvery;
+    step_share();
+  }
+
+  // ---- Guards ----
+
+  // A build is on trial unless it is told to be released; what the news does not name yet is as well.
+  bool on_trial(BuildId build) const {
+    if (!told_) return build > build_;
+    return build > build_ || (build == build_ && phase_ != Phase::kReleased);
+  }
+
+  bool exposure_allows(unsigned group, BuildId build, double share) {
+    const unsigned stage = build == build_ && told_ ? stage_ : 0;
+    if (stage < closed_stages_ && groups_[group].repeats != Repeats::kRepeatable) return false;
+    const double cap = build == build_ && told_ ? cap_ : first_cap_;
+    if (cap <= 0 || share <= 0) return false;
+    // Forwards are counted a tick longer and takings a tick shorter than the window, against edges of it.
+    const auto out = groups_[by_group_ ? group : 0].on_trial.from(now_ - window_ - tick_);
+    const auto in = (by_group_ ? groups_[group].taken : all_taken_).from(now_ - window_ + tick_);
+    return static_cast<double>(out) + 1 <= spare_ + cap * static_cast<double>(in) * share;
+  }
+
+  // A cold host gets no more than what a warm one of its kind gets from us, scaled by the least it can do at
+  // its age. Guards against pushing it over; all routers doing so, their sum is as safe as the warm hosts'
+  // is.
+  bool cold_allows(Host& host) {
+    const Span age = now_ - host.last_start;
+    if (age >= warm_after_ + Span::ms(300)) return true;
+    const Instant since = now_ - cold_window_;
+    double sent = 0, warm_hosts = 0;
+    std::size_t in = 0;
+    for (GroupFigures& g : groups_) in += g.taken.from(now_ - std::max(window_, cold_window_) + tick_);
+    const double all = static_cast<double>(in) * (cold_window_ / std::max(window_, cold_window_));
+    for (Host& other : hosts_) {
+      if (other.state != HostState::kReady || other.kind != host.kind || !warm(other) || other.ejected)
+        continue;
+      sent += static_cast<double>(other.forwards.from(since));
+      warm_hosts += 1;
+    }
+    const double even = all / static_cast<double>(std::max<std::size_t>(ready_, 1));
+    const double usual = warm_hosts > 0 ? std::min(sent / warm_hosts, 1.3 * even) : 0.7 * even;
+    const double able = start_capacity_ + (1 - start_capacity_) * std::clamp(age / warm_after_, 0.0, 1.0);
+    return static_cast<double>(host.forwards.from(since)) < 1 + usual * able;
   }
-  if (token != kBeatToken) return;
-  sink_.wake(kBeat, kBeatToken);
-  for (Customer& c : customers_) c.tokens = std::min(c.tokens + c.per_s * kBeat.s(), std::max(c.per_s, 1.0));
-  ejected_ = 0;
-  for (HostIndex h = 0; h < hosts_.size(); ++h) {
+
+  // The one place that says whether a forward is allowed.
+  bool may_forward(const Hit& hit, HostIndex h, double share) {
     Host& host = hosts_[h];
-    if (host.state != HostState::kReady) continue;
-    // A host that takes hits and answers none: its silence counts as failures, one for each long wait.
-    const Span silence = now - std::max(host.last_heard, host.open_since);
-    if (host.open == 0 && silence > Span::s(1)) host.unit_ms *= 0.995;  // old news of a slow host fades
-    const Span usual = Span::ms(host.unit_ms * (kFreeLoad + host.open));
-    if (host.open > 0 && silence > std::max(Span::ms(800), usual * 4)) host.last_heard = now, weigh(h, true);
-    if (host.ejected && now >= host.rest_until && host.suspicion <= 0) {
-      host.ejected = false;
-      host.rest = kFirstRest;
-      log("host %u back", h);
+    if (hit.done || host.state != HostState::kReady || now_ >= hit.give_up_at) return false;
+    if (hit.legs >= max_forwards_) return false;
+    const GroupFigures& group = groups_[hit.group];
+    for (unsigned i = 0; i < hit.legs; ++i) {
+      const Forward& f = hit.leg[i];
+      if (f.host == h && (f.out || ready_ > 2)) return false;  // not where it was before
+      if (!f.out && !f.may_have_run) continue;
+      if (group.repeats == Repeats::kMutating) return false;
+      if (group.repeats != Repeats::kTagged) continue;
+      if (now_ - f.sent >= group.memory - tick_) return false;
+      const Host& first = hosts_[f.host];
+      if (group.drop == DropGroup::kZone && first.zone != host.zone) return false;
+      if (group.drop == DropGroup::kCell && (first.cell != host.cell || first.zone != host.zone))
+        return false;
     }
-    ejected_ += host.ejected;
-  }
-  for (std::uint32_t place = 0; place < hits_.places(); ++place) {
-    Hit& hit = hits_[place];
-    if (hit.live && !hit.done && hit.due <= now) (this->*hit.at_due)(hit);
+    if (one_way_ && hit.key != 0) {
+      const std::uint32_t pin = pins_.find(hit.key);
+      if (pin != IndexMap::kNone && host.build < pin) return false;
+    }
+    if (on_trial(host.build) && !exposure_allows(hit.group, host.build, share)) return false;
+    return cold_allows(host);
   }
-  if (now < next_judge_) return;
-  next_judge_ = now + kJudgeEvery;
-  step_share();
-}
-
-// ---- Guards ----
-
-// A build is on trial unless it is told to be released; what the news does not name yet is as well.
-bool Choice::on_trial(BuildId build) const {
-  if (!told_) return build > build_;
-  return build > build_ || (build == build_ && phase_ != Phase::kReleased);
-}
 
-bool Choice::exposure_allows(unsigned group, BuildId build, double share) {
-  const unsigned stage = build == build_ && told_ ? stage_ : 0;
-  if (stage < closed_stages_ && groups_[group].repeats != Repeats::kRepeatable) return false;
-  const double cap = build == build_ && told_ ? cap_ : first_cap_;
-  if (cap <= 0 || share <= 0) return false;
-  // Forwards are counted a tick longer and takings a tick shorter than the window, against edges of it.
-  const auto out = groups_[by_group_ ? group : 0].on_trial.from(now_ - window_ - tick_);
-  const auto in = (by_group_ ? groups_[group].taken : all_taken_).from(now_ - window_ + tick_);
-  return static_cast<double>(out) + 1 <= spare_ + cap * static_cast<double>(in) * share;
-}
-
-// A cold host gets no more than what a warm one of its kind gets from us, scaled by the least it can do at
-// its age. Guards against pushing it over; all routers doing so, their sum is as safe as the warm hosts' is.
-bool Choice::cold_allows(Host& host) {
-  const Span age = now_ - host.last_start;
-  if (age >= warm_after_ + Span::ms(300)) return true;
-  const Instant since = now_ - cold_window_;
-  double sent = 0, warm_hosts = 0;
-  std::size_t in = 0;
-  for (GroupFigures& g : groups_) in += g.taken.from(now_ - std::max(window_, cold_window_) + tick_);
-  const double all = static_cast<double>(in) * (cold_window_ / std::max(window_, cold_window_));
-  for (Host& other : hosts_) {
-    if (other.state != HostState::kReady || other.kind != host.kind || !warm(other) || other.ejected) continue;
-    sent += static_cast<double>(other.forwards.from(since));
-    warm_hosts += 1;
+  bool may_have_run(const Hit& hit) const {
+    for (unsigned i = 0; i < hit.legs; ++i) {
+      if (hit.leg[i].out || hit.leg[i].may_have_run) return true;
+    }
+    return false;
   }
-  const double even = all / static_cast<double>(std::max<std::size_t>(ready_, 1));
-  const double usual = warm_hosts > 0 ? std::min(sent / warm_hosts, 1.3 * even) : 0.7 * even;
-  const double able = start_capacity_ + (1 - start_capacity_) * std::clamp(age / warm_after_, 0.0, 1.0);
-  return static_cast<double>(host.forwards.from(since)) < 1 + usual * able;
-}
 
-// The one place that says whether a forward is allowed.
-bool Choice::may_forward(const Hit& hit, HostIndex h, double share) {
-  Host& host = hosts_[h];
-  if (hit.done || host.state != HostState::kReady || now_ >= hit.give_up_at) return false;
-  if (hit.legs >= max_forwards_) return false;
-  const GroupFigures& group = groups_[hit.group];
-  for (unsigned i = 0; i < hit.legs; ++i) {
-    const Forward& f = hit.leg[i];
-    if (f.host == h && (f.out || ready_ > 2)) return false;  // not where it was before
-    if (!f.out && !f.may_have_run) continue;
-    if (group.repeats == Repeats::kMutating) return false;
-    if (group.repeats != Repeats::kTagged) continue;
-    if (now_ - f.sent >= group.memory - tick_) return false;
-    const Host& first = hosts_[f.host];
-    if (group.drop == DropGroup::kZone && first.zone != host.zone) return false;
-    if (group.drop == DropGroup::kCell && (first.cell != host.cell || first.zone != host.zone)) return false;
+  // A bounce says that trying again is harmless.
+  bool may_bounce(const Hit& hit) const {
+    const GroupFigures& group = groups_[hit.group];
+    if (group.repeats == Repeats::kRepeatable || !may_have_run(hit)) return true;
+    return group.repeats == Repeats::kTagged && group.drop == DropGroup::kAll;
   }
-  if (one_way_ && hit.key != 0) {
-    const std::uint32_t pin = pins_.find(hit.key);
-    if (pin != IndexMap::kNone && host.build < pin) return false;
-  }
-  if (on_trial(host.build) && !exposure_allows(hit.group, host.build, share)) return false;
-  return cold_allows(host);
-}
 
-bool Choice::may_have_run(const Hit& hit) const {
-  for (unsigned i = 0; i < hit.legs; ++i) {
-    if (hit.leg[i].out || hit.leg[i].may_have_run) return true;
+ private:
+  bool warm(const Host& host) const { return now_ - host.last_start >= warm_after_; }
+  Side side(const Host& host) const { return host.build >= build_ ? Side::kTrial : Side::kEarlier; }
+  Samples& samples(Side s, unsigned kind, unsigned group) {
+    return samples_[((s == Side::kTrial ? kinds_ : 0) + kind) * groups_.size() + group];
+  }
+  template <class... Figures>
+  void log(const char* form, Figures... figures) {
+    char line[160];
+    const int n = std::snprintf(line, sizeof line, form, figures...);
+    sink_.log({line, static_cast<std::size_t>(std::clamp(n, 0, 159))});
   }
-  return false;
-}
 
-// A bounce says that trying again is harmless.
-bool Choice::may_bounce(const Hit& hit) const {
-  const GroupFigures& group = groups_[hit.group];
-  if (group.repeats == Repeats::kRepeatable || !may_have_run(hit)) return true;
-  return group.repeats == Repeats::kTagged && group.drop == DropGroup::kAll;
-}
+  Sink& sink_;
+  Pcg chance_;
+  Instant now_;
+  // Figures derived from the terms.
+  std::vector<GroupFigures> groups_;
+  std::vector<Customer> customers_;
+  unsigned zone_, kinds_, max_forwards_;
+  bool must_ask_, may_cancel_, may_copy_, by_group_, one_way_, clocked_, rolling_;
+  int active_column_;
+  Span longest_retry_after_, cold_window_, warm_after_, tick_, window_, vote_life_, vote_gap_;
+  double start_capacity_, cross_price_, over_share_worth_, first_cap_, spare_, reported_share_;
+  std::vector<double> rings_;
+  unsigned closed_stages_;
+  // What is out there.
+  std::vector<Host> hosts_;
+  std::vector<HostIndex> own_, other_;  // scratch for picking
+  Span ask_wait_ = Span::ms(300);
+  std::size_t ready_ = 0, ejected_ = 0;
+  // The build on trial.
+  bool told_ = false;
+  BuildId build_ = 0;
+  unsigned stage_ = 0;
+  Phase phase_ = Phase::kReleased;
+  double cap_ = 0, share_ = kFirstShare;
+  Instant stage_since_, quiet_from_, full_from_, harm_from_, next_judge_, newest_start_, last_trouble_;
+  bool braked_ = false, stepped_back_ = false, held_ = false;
+  std::size_t trial_ready_ = 0, earlier_ready_ = 0;
+  double past_fail_rate_ = 0;
+  std::vector<Samples> samples_;
+  std::vector<Count> tally_;  // earlier builds', then the trial's, by path group
+  // Our vote.
+  Vote standing_ = Vote::kNone;
+  unsigned standing_stage_ = 0;
+  Instant voted_at_, next_vote_;
+  // Hits and keys.
+  Slab<Hit> hits_;
+  IndexMap places_, pins_;
+  std::vector<std::uint32_t> key_hits_;
+  IndexMap key_index_;
+  double mean_ms_ = 0, usual_unit_ms_ = 0, recent_unit_ms_ = 0, calm_unit_ms_ = 0, calm_ready_ = 0,
+         best_worth_ = 0, taken_total_ = 0, further_ = kFurtherMost;
+  SlidingCount all_taken_;
+};
 
 }  // namespace
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -58,7 +58,8 @@
 class Sink {
  public:
   virtual ~Sink() = default;
-  virtual void forward(HitId hit, HostIndex host, Span try_for) = 0;  // zero span: as long as the client waits
+  virtual void forward(HitId hit, HostIndex host,
+                       Span try_for) = 0;  // zero span: as long as the client waits
   virtual void bounce(HitId hit, Span retry_after) = 0;
   virtual void error(HitId hit) = 0;
   virtual void cancel(HitId hit, unsigned leg) = 0;
@@ -73,27 +74,28 @@
 class Router {
  public:
   virtual ~Router() = default;
-  virtual void started(Instant now) = 0;
+  virtual void clock(Instant now) = 0;  // the time of the events that follow
+  virtual void started() = 0;
   // The host list: begin (whole: hosts not named until the end are gone), each entry, end.
-  virtual void list_begin(Instant now, bool whole) = 0;
+  virtual void list_begin(bool whole) = 0;
   virtual void list_host(HostIndex host, HostState state, BuildId build, unsigned zone, unsigned cell,
                          unsigned kind, Instant last_start) = 0;
-  virtual void list_end(Instant now) = 0;
-  virtual void list_failed(Instant now) = 0;
-  virtual void taken(Instant now, HitId hit, unsigned path_group, unsigned customer, std::uint64_t key,
-                     Instant give_up_at, double work_hint_ms) = 0;
-  virtual void ended(Instant now, HitId hit, unsigned leg, HostIndex host, Result result, Span took,
-                     bool terminal, std::span<const float> report) = 0;
-  virtual void opened(Instant now, HitId hit, unsigned leg) = 0;
-  virtual void client_left(Instant now, HitId hit) = 0;
-  virtual void woken(Instant now, std::uint64_t token) = 0;
-  virtual void load_told(Instant now, HostIndex host, bool answered, std::span<const float> report) = 0;
-  virtual void stage_told(Instant now, BuildId build, unsigned stage, Phase phase, bool answers_vote,
-                          Answer answer, double cap, Span age) = 0;
-  virtual void tally_told(Instant now, BuildId build, unsigned path_group, std::uint32_t count,
-                          std::uint32_t lost, Span mean, Span age) = 0;
-  virtual void answer_disputed(Instant now, HostIndex host, unsigned path_group, Span since_sent) = 0;
-  virtual void peer_told(Instant now, unsigned peer, std::span<const std::uint8_t> bytes) = 0;
+  virtual void list_end() = 0;
+  virtual void list_failed() = 0;
+  virtual void taken(HitId hit, unsigned path_group, unsigned customer, std::uint64_t key, Instant give_up_at,
+                     double work_hint_ms) = 0;
+  virtual void ended(HitId hit, unsigned leg, HostIndex host, Result result, Span took, bool terminal,
+                     std::span<const float> report) = 0;
+  virtual void opened(HitId hit, unsigned leg) = 0;
+  virtual void client_left(HitId hit) = 0;
+  virtual void woken(std::uint64_t token) = 0;
+  virtual void load_told(HostIndex host, bool answered, std::span<const float> report) = 0;
+  virtual void stage_told(BuildId build, unsigned stage, Phase phase, bool answers_vote, Answer answer,
+                          double cap, Span age) = 0;
+  virtual void tally_told(BuildId build, unsigned path_group, std::uint32_t count, std::uint32_t lost,
+                          Span mean, Span age) = 0;
+  virtual void answer_disputed(HostIndex host, unsigned path_group, Span since_sent) = 0;
+  virtual void peer_told(unsigned peer, std::span<const std::uint8_t> bytes) = 0;
 };
 
 std::unique_ptr<Router> make_router(const Terms& terms, std::uint64_t seed, Sink& sink);
--- a/src/simhost/fleet.cpp
+++ b/src/simhost/fleet.cpp
@@ -10,12 +10,37 @@
 namespace {
 
 enum EventCode : std::uint8_t {
-  kStart = 1, kRosterChange, kAccept, kOpened, kResponse, kExpired, kWake, kChecked, kMessage, kHalt,
-  kReleaseState, kMetrics, kDisputed, kSheet, kSelect
+  kStart = 1,
+  kRosterChange,
+  kAccept,
+  kOpened,
+  kResponse,
+  kExpired,
+  kWake,
+  kChecked,
+  kMessage,
+  kHalt,
+  kReleaseState,
+  kMetrics,
+  kDisputed,
+  kSheet,
+  kSelect
 };
 enum ActionCode : std::uint8_t {
-  kTransmit = 1, kTurnAway, kDropRequest, kWithdraw, kWakeAt, kAskLoad, kReleaseIdle, kWritePeer, kPrint,
-  kFatal, kFollow, kReload, kBallot, kSpeaking
+  kTransmit = 1,
+  kTurnAway,
+  kDropRequest,
+  kWithdraw,
+  kWakeAt,
+  kAskLoad,
+  kReleaseIdle,
+  kWritePeer,
+  kPrint,
+  kFatal,
+  kFollow,
+  kReload,
+  kBallot,
+  kSpeaking
 };
 constexpr std::size_t kEntryBytes = 27;
 
@@ -75,26 +100,41 @@
 
 Result result_of(std::uint16_t verdict, const Reader& in) {
   switch (verdict) {
-    case 200: return Result::kOk;
-    case 502: return Result::kError;
-    case 429: return Result::kFull;
-    case 408: return Result::kTimeout;
-    case 521: return Result::kNoConnect;
-    case 520: return Result::kReset;
-    case 444: return Result::kCancelled;
-    case 409: return Result::kMoot;
-    default: in.fail("unknown verdict " + std::to_string(verdict));
+    case 200:
+      return Result::kOk;
+    case 502:
+      return Result::kError;
+    case 429:
+      return Result::kFull;
+    case 408:
+      return Result::kTimeout;
+    case 521:
+      return Result::kNoConnect;
+    case 520:
+      return Result::kReset;
+    case 444:
+      return Result::kCancelled;
+    case 409:
+      return Result::kMoot;
+    default:
+      in.fail("unknown verdict " + std::to_string(verdict));
   }
 }
 
 Answer answer_of(std::uint16_t verdict, const Reader& in) {
   switch (verdict) {
-    case 200: return Answer::kTaken;
-    case 409: return Answer::kVoid;
-    case 429: return Answer::kFull;
-    case 502: return Answer::kFailed;
-    case 408: return Answer::kUnknown;
-    default: in.fail("unknown vote verdict " + std::to_string(verdict));
+    case 200:
+      return Answer::kTaken;
+    case 409:
+      return Answer::kVoid;
+    case 429:
+      return Answer::kFull;
+    case 502:
+      return Answer::kFailed;
+    case 408:
+      return Answer::kUnknown;
+    default:
+      in.fail("unknown vote verdict " + std::to_string(verdict));
   }
 }
 
@@ -108,10 +148,14 @@
     const std::string at = "grades." + std::to_string(i) + ".";
     PathGroup g;
     const std::string effect = given.word(at + "effect");
-    if (effect == "idempotent") g.repeats = Repeats::kRepeatable;
-    else if (effect == "deduplicated") g.repeats = Repeats::kTagged;
-    else if (effect == "at_most_once") g.repeats = Repeats::kMutating;
-    else throw WireError("settings: '" + at + "effect' is unknown: '" + effect + "'");
+    if (effect == "idempotent")
+      g.repeats = Repeats::kRepeatable;
+    else if (effect == "deduplicated")
+      g.repeats = Repeats::kTagged;
+    else if (effect == "at_most_once")
+      g.repeats = Repeats::kMutating;
+    else
+      throw WireError("settings: '" + at + "effect' is unknown: '" + effect + "'");
     const std::string group = given.word(at + "group", "all");
     g.group = group == "zone" ? DropGroup::kZone : group == "cell" ? DropGroup::kCell : DropGroup::kAll;
     g.target = given.span(at + "goalTimeMs");
@@ -294,6 +338,7 @@
   const auto call = [&](auto&& deliver) {
     if (!to.running()) return;
     try {
+      to.router().clock(now);
       deliver(to.router());
     } catch (const std::exception& e) {
       to.fault(e.what());
@@ -304,7 +349,7 @@
       const std::uint64_t seed = in.u64();
       const auto text = in.bytes(in.u32());
       to.start(read_terms({reinterpret_cast<const char*>(text.data()), text.size()}), seed);
-      call([&](Router& r) { r.started(now); });
+      call([&](Router& r) { r.started(); });
       break;
     }
     case kRosterChange: {
@@ -313,12 +358,12 @@
       const std::uint8_t buffer = in.u8();
       if (mode > 3) in.fail("unknown list mode " + std::to_string(mode));
       if (mode == 3) {
-        call([&](Router& r) { r.list_failed(now); });
+        call([&](Router& r) { r.list_failed(); });
         break;
       }
       if (buffer >= sheets_.size()) in.fail("list buffer " + std::to_string(buffer) + " out of range");
       call([&](Router& r) {
-        r.list_begin(now, mode != 0);
+        r.list_begin(mode != 0);
         Reader rows(sheets_[buffer]);
         while (!rows.done()) {
           const HostIndex host = to.index_of(rows.address());
@@ -329,11 +374,14 @@
           const std::uint8_t state = rows.u8();
           rows.f32();
           const double start = rows.f64();
-          r.list_host(host, state == 1 ? HostState::kReady : state == 2 ? HostState::kDraining : HostState::kGone,
+          r.list_host(host,
+                      state == 1   ? HostState::kReady
+                      : state == 2 ? HostState::kDraining
+                                   : HostState::kGone,
                       static_cast<BuildId>(std::lround(build)), zone, cell, kind,
                       start > 0 ? Instant::at_ms(start) : Instant());
         }
-        r.list_end(now);
+        r.list_end();
       });
       break;
     }
@@ -346,7 +394,7 @@
       const std::uint64_t key = in.u64();
       const std::uint8_t group = in.u8();
       call([&](Router& r) {
-        r.taken(now, hit, group, customer, key, Instant::at_ms(give_up), (bits & 1U) != 0 ? hint : 0);
+        r.taken(hit, group, customer, key, Instant::at_ms(give_up), (bits & 1U) != 0 ? hint : 0);
       });
       break;
     }
@@ -355,7 +403,7 @@
       const std::uint8_t leg = in.u8();
       in.address();
       in.f64();
-      call([&](Router& r) { r.opened(now, hit, leg); });
+      call([&](Router& r) { r.opened(hit, leg); });
       break;
     }
     case kResponse: {
@@ -368,18 +416,18 @@
       read_report();
       if (!to.knows(host)) break;
       call([&](Router& r) {
-        r.ended(now, hit, leg, to.index_of(host), result, Span::ms(took), terminal, report_);
+        r.ended(hit, leg, to.index_of(host), result, Span::ms(took), terminal, report_);
       });
       break;
     }
     case kExpired: {
       const HitId hit = in.u32();
-      call([&](Router& r) { r.client_left(now, hit); });
+      call([&](Router& r) { r.client_left(hit); });
       break;
     }
     case kWake: {
       const std::uint64_t token = in.u64();
-      call([&](Router& r) { r.woken(now, token); });
+      call([&](Router& r) { r.woken(token); });
       break;
     }
     case kChecked: {
@@ -388,13 +436,13 @@
       in.f64();
       read_report();
       if (!to.knows(host)) break;
-      call([&](Router& r) { r.load_told(now, to.index_of(host), answered, report_); });
+      call([&](Router& r) { r.load_told(to.index_of(host), answered, report_); });
       break;
     }
     case kMessage: {
       const std::uint32_t peer = in.u32();
       const auto text = in.bytes(in.u16());
-      call([&](Router& r) { r.peer_told(now, peer, text); });
+      call([&](Router& r) { r.peer_told(peer, text); });
       break;
     }
     case kHalt:
@@ -410,7 +458,7 @@
       const double age = in.f64();
       if (phase > 3) in.fail("unknown release phase " + std::to_string(phase));
       call([&](Router& r) {
-        r.stage_told(now, build, stage, static_cast<Phase>(phase), asked, answer, static_cast<double>(cap),
+        r.stage_told(build, stage, static_cast<Phase>(phase), asked, answer, static_cast<double>(cap),
                      Span::ms(age));
       });
       break;
@@ -422,7 +470,7 @@
       const std::uint32_t lost = in.u32();
       const double age = in.f64();
       const std::uint8_t group = in.u8();
-      call([&](Router& r) { r.tally_told(now, build, group, count, lost, Span::ms(mean), Span::ms(age)); });
+      call([&](Router& r) { r.tally_told(build, group, count, lost, Span::ms(mean), Span::ms(age)); });
       break;
     }
     case kDisputed: {
@@ -430,10 +478,11 @@
       const std::uint8_t group = in.u8();
       const double since = in.f64();
       if (!to.knows(host)) break;
-      call([&](Router& r) { r.answer_disputed(now, to.index_of(host), group, Span::ms(since)); });
+      call([&](Router& r) { r.answer_disputed(to.index_of(host), group, Span::ms(since)); });
       break;
     }
-    default: in.fail("unknown event code " + std::to_string(code));
+    default:
+      in.fail("unknown event code " + std::to_string(code));
   }
 }
 
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -13,7 +13,8 @@
   const std::size_t got = std::fread(to, 1, n, stdin);
   if (got == n) return true;
   if (got == 0 && may_end) return false;
-  throw WireError("input ended inside a frame: " + std::to_string(got) + " of " + std::to_string(n) + " bytes");
+  throw WireError("input ended inside a frame: " + std::to_string(got) + " of " + std::to_string(n) +
+                  " bytes");
 }
 
 int serve() {
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -1,1 +1,297 @@
-#include <gtest/gtest.h>
+// The decisions, one small case each.
+#include <algorithm>
+
+#include "helpers.hpp"
+
+namespace ashbeam {
+namespace {
+
+using Outcome = World::Outcome;
+
+World on_trial(const Terms& terms = usual_terms(), double cap = 0.4, unsigned earlier = 8,
+               unsigned trial = 3) {
+  World w(terms, earlier, 0);
+  w.run(Span::s(5), 100);
+  w.list(earlier, trial);
+  w.stage(2, 0, Phase::kTrial, cap);
+  return w;
+}
+
+TEST(Share, StartsLowAndClimbsWhileQuiet) {
+  World w = on_trial();
+  const std::size_t from = w.sink.sent.size();
+  w.run(Span::s(1), 200);
+  const std::size_t early = w.sent_to(2, from);
+  w.run(Span::s(5), 200);
+  const std::size_t later = w.sink.sent.size();
+  w.run(Span::s(1), 200);
+  EXPECT_GT(early, 0u);
+  EXPECT_LT(early, 30u);                      // about 0.3 of what three hosts in eleven should carry
+  EXPECT_GT(w.sent_to(2, later), 2 * early);  // full share
+  EXPECT_TRUE(w.sink.logged("full share"));
+}
+
+TEST(Share, ModerateHarmStepsBackOnceAndRecovers) {
+  World w = on_trial();
+  w.serve = [](BuildId b, HostIndex) {
+    static int n = 0;
+    return Outcome{b == 2 && ++n % 28 == 0 ? Result::kError : Result::kOk};
+  };
+  w.run(Span::s(7), 300);
+  EXPECT_TRUE(w.sink.logged("step back"));
+  EXPECT_FALSE(w.sink.voted(Vote::kBack));
+}
+
+TEST(Share, SevereHarmBrakesAndVotesBack) {
+  World w = on_trial();
+  w.serve = [](BuildId b, HostIndex) {
+    static int n = 0;
+    return Outcome{b == 2 && ++n % 4 == 0 ? Result::kError : Result::kOk};
+  };
+  w.run(Span::s(4), 200);
+  EXPECT_TRUE(w.sink.voted(Vote::kBack));
+  const std::size_t from = w.sink.sent.size();
+  w.run(Span::s(1), 200);
+  EXPECT_EQ(w.sent_to(2, from), 0u);
+}
+
+TEST(Share, OneFailingPathGroupDoesNotHideAmongTheOthers) {
+  Terms terms = usual_terms();
+  World w = on_trial(terms);
+  for (int i = 0; i < 1600 && !w.sink.voted(Vote::kBack); ++i) {
+    const unsigned group = i % 12 == 0 ? 1 : 0;
+    w.take(group);
+    const Noted::Sent s = w.sink.sent.back();
+    const bool fails = w.builds[s.host] == 2 && group == 1;
+    w.now = w.now + Span::ms(5);
+    w.end(s, fails ? Result::kError : Result::kOk, Span::ms(50), fails);
+    w.beat();
+  }
+  EXPECT_TRUE(w.sink.voted(Vote::kBack));
+}
+
+TEST(Judging, OneSickHostDoesNotConvictItsBuild) {
+  World w = on_trial(usual_terms(), 0.4, 8, 4);
+  w.serve = [](BuildId, HostIndex h) { return Outcome{h == 9 ? Result::kError : Result::kOk}; };
+  w.run(Span::s(6), 200);
+  EXPECT_FALSE(w.sink.voted(Vote::kBack));
+  EXPECT_TRUE(w.sink.logged("host 9 out"));
+}
+
+TEST(Judging, FailuresEverywhereAreNotTheTrials) {
+  World w = on_trial();
+  w.serve = [](BuildId, HostIndex) {
+    static int n = 0;
+    return Outcome{++n % 10 == 0 ? Result::kError : Result::kOk};
+  };
+  w.run(Span::s(6), 200);
+  EXPECT_FALSE(w.sink.voted(Vote::kBack));
+}
+
+TEST(Judging, BrokenConnectionsDoNotConvictABuild) {
+  World w = on_trial();
+  w.serve = [](BuildId b, HostIndex) { return Outcome{b == 2 ? Result::kNoConnect : Result::kOk}; };
+  w.run(Span::s(6), 200);
+  EXPECT_FALSE(w.sink.voted(Vote::kBack));
+}
+
+TEST(Judging, LastingSlownessOfTheTrialIsSevere) {
+  World w = on_trial();
+  w.serve = [](BuildId b, HostIndex) { return Outcome{Result::kOk, Span::ms(b == 2 ? 130 : 50)}; };
+  w.run(Span::s(10), 200);
+  EXPECT_TRUE(w.sink.logged("step back"));
+  EXPECT_TRUE(w.sink.voted(Vote::kBack));
+}
+
+TEST(Judging, ABuildThatSlowsAllHostsIsCaughtUnlessHostsAreLost) {
+  for (const bool lost : {false, true}) {
+    World w = on_trial();
+    w.serve =
+        lost ? [](BuildId,
+                  HostIndex h) { return Outcome{h < 2 ? Result::kNoConnect : Result::kOk, Span::ms(300)}; }
+             : [](BuildId, HostIndex) {
+                 return Outcome{Result::kOk, Span::ms(300)};
+               };
+    w.run(Span::s(8), 60);
+    EXPECT_EQ(w.sink.voted(Vote::kBack), !lost);
+  }
+}
+
+TEST(Judging, DisputedAnswersConvict) {
+  Terms terms = usual_terms();
+  terms.reported_share = 0.15;
+  World w = on_trial(terms);
+  w.run(Span::s(3), 100);
+  for (int i = 0; i < 4; ++i) w.router->answer_disputed(8 + i % 3, 0, Span::ms(500));
+  w.run(Span::ms(300), 100);
+  EXPECT_TRUE(w.sink.voted(Vote::kBack));
+}
+
+TEST(Judging, TheTallyStandsInWhileOwnOutcomesAreFew) {
+  World w = on_trial(usual_terms(), 0.1);
+  w.router->tally_told(1, 0, 100, 0, Span::ms(50), Span());
+  w.router->tally_told(2, 0, 40, 10, Span::ms(50), Span());
+  w.run(Span::s(1), 5);
+  EXPECT_TRUE(w.sink.voted(Vote::kBack));
+}
+
+TEST(Votes, OnIsPatient) {
+  World w = on_trial();
+  w.list(8, 3, w.now);  // the newest trial host has just started
+  const Instant started = w.now;
+  while (!w.sink.voted(Vote::kOn) && w.now - started < Span::s(30)) w.run(Span::ms(100), 200);
+  EXPECT_TRUE(w.sink.voted(Vote::kOn));
+  EXPECT_GT(w.now - started, Span::s(5));
+}
+
+TEST(Votes, RenewedBeforeTheyLapseAndNeverOnUnderTheClock) {
+  World w = on_trial();
+  w.run(Span::s(30), 200);
+  EXPECT_GE(w.sink.votes.size(), 3u);
+  Terms terms = usual_terms();
+  terms.clocked = true;
+  World c = on_trial(terms);
+  c.run(Span::s(20), 200);
+  EXPECT_TRUE(c.sink.votes.empty());
+}
+
+TEST(Votes, AFailedVoteCarriesNoNewsAndIsCastAgain) {
+  World w = on_trial();
+  w.run(Span::s(15), 200);
+  ASSERT_TRUE(w.sink.voted(Vote::kOn));
+  const std::size_t before = w.sink.votes.size();
+  w.router->stage_told(0, 0, Phase::kTrial, true, Answer::kUnknown, 0, Span());
+  w.run(Span::s(1), 200);
+  EXPECT_GT(w.sink.votes.size(), before);
+  EXPECT_EQ(w.sink.votes.back().second, Vote::kOn);
+}
+
+TEST(Departure, FullCapWhereNoEarlierHostIsLeft) {
+  World w(usual_terms(), 0, 6);
+  w.stage(2, 2, Phase::kTrial, 1.0);
+  w.run(Span::s(2), 100);
+  EXPECT_GT(w.sink.sent.size(), 190u);
+}
+
+TEST(Exposure, NothingAtCapZeroAndStageZeroBeforeTheNews) {
+  World w(usual_terms(), 8, 8);
+  w.run(Span::s(2), 200);  // build 2 is listed but not announced
+  EXPECT_LE(w.sent_to(2), 2 + 0.1 * 400);
+  w.stage(2, 1, Phase::kReverting, 0);
+  const std::size_t from = w.sink.sent.size();
+  w.run(Span::s(2), 200);
+  EXPECT_EQ(w.sent_to(2, from), 0u);
+}
+
+TEST(Exposure, AKeyAnsweredByTheNewBuildStaysWithIt) {
+  Terms terms = usual_terms();
+  terms.one_way = true;
+  World w(terms, 4, 4);
+  w.stage(2, 1, Phase::kTrial, 0.9);
+  std::map<std::uint64_t, bool> bound;
+  for (int i = 0; i < 4000; ++i) {
+    const std::uint64_t key = 1 + static_cast<std::uint64_t>(i % 100) * 7919;
+    const std::size_t before = w.sink.sent.size();
+    w.take(0, key);
+    w.now = w.now + Span::ms(5);
+    for (std::size_t s = before; s < w.sink.sent.size(); ++s) {
+      const bool blue = w.builds[w.sink.sent[s].host] == 2;
+      EXPECT_TRUE(blue || !bound[key] || w.sink.sent[s].hit != w.next_hit - 1);
+      if (blue) bound[key] = true;
+      w.end(w.sink.sent[s], Result::kOk);
+    }
+    w.beat();
+  }
+  EXPECT_GT(std::count_if(bound.begin(), bound.end(), [](const auto& b) { return b.second; }), 10);
+}
+
+TEST(Hits, MutatingIsErroredOnceItMayHaveRunAndBouncedBefore) {
+  World w(usual_terms());
+  const HitId ran = w.take(2);
+  w.end(w.sink.sent.back(), Result::kReset);
+  EXPECT_EQ(w.sink.errored, std::vector<HitId>{ran});
+  const HitId proved = w.take(2);
+  for (int i = 0; i < 4; ++i) w.end(w.sink.sent.back(), Result::kNoConnect);
+  EXPECT_EQ(w.sink.legs[proved], 4u);
+  EXPECT_EQ(w.sink.bounced, std::vector<HitId>{proved});
+}
+
+TEST(Hits, TaggedStaysInItsZoneAndMemory) {
+  World w(usual_terms());
+  w.take(1);
+  const HostIndex first = w.sink.sent.back().host;
+  w.end(w.sink.sent.back(), Result::kError);
+  ASSERT_EQ(w.sink.sent.size(), 2u);
+  EXPECT_EQ(w.sink.sent.back().host % 2, first % 2);
+  w.now = w.now + Span::ms(1100);  // what it may have done is forgotten by now
+  w.end(w.sink.sent.back(), Result::kError);
+  EXPECT_EQ(w.sink.sent.size(), 2u);
+  EXPECT_EQ(w.sink.errored.size(), 1u);
+}
+
+TEST(Hits, ASilentHostIsDroppedAndItsHitsGoElsewhere) {
+  World w(usual_terms());
+  w.serve = [](BuildId, HostIndex h) { return Outcome{Result::kOk, Span::ms(50), h == 3}; };
+  w.run(Span::s(6), 100);
+  EXPECT_TRUE(w.sink.logged("host 3 out"));
+  std::size_t late = 0;
+  for (std::size_t i = w.sink.sent.size() - 100; i < w.sink.sent.size(); ++i)
+    late += w.sink.sent[i].host == 3;
+  EXPECT_LT(late, 5u);
+  EXPECT_TRUE(w.sink.errored.empty());
+}
+
+TEST(Hits, EveryHitEndsOnceBeforeItsTimeout) {
+  World w(usual_terms());
+  w.serve = [](BuildId, HostIndex) { return Outcome{Result::kOk, Span(), true}; };
+  for (int i = 0; i < 30; ++i) w.take(static_cast<unsigned>(i) % 3, 0, Span::ms(500));
+  w.run(Span::ms(495), 0);
+  EXPECT_EQ(w.sink.bounced.size() + w.sink.errored.size(), 30u);
+}
+
+TEST(Hits, OverloadBouncesAtOnceWhatIsWorthLeast) {
+  Terms terms = usual_terms();
+  terms.path_groups[1].benefit = 5;
+  World w(terms, 2);
+  w.serve = [](BuildId, HostIndex) { return Outcome{Result::kOk, Span::ms(250)}; };
+  w.run(Span::s(6), 200, {0, 1});
+  const auto cheap =
+      std::count_if(w.sink.bounced.begin(), w.sink.bounced.end(), [](HitId h) { return h % 2 == 0; });
+  EXPECT_GT(static_cast<std::size_t>(cheap), w.sink.bounced.size() / 2);
+}
+
+TEST(Hosts, DrainingAndGoneGetNothing) {
+  World w(usual_terms(), 4);
+  w.router->list_begin(false);
+  w.router->list_host(0, HostState::kDraining, 1, 0, 0, 0, Instant());
+  w.router->list_host(1, HostState::kGone, 1, 1, 1, 0, Instant());
+  w.router->list_end();
+  w.run(Span::s(1), 100);
+  for (const auto& s : w.sink.sent) EXPECT_GE(s.host, 2u);
+}
+
+TEST(Hosts, AColdHostGetsLessThanAWarmOne) {
+  World w(usual_terms(), 8);
+  w.run(Span::s(2), 400);
+  w.router->list_begin(false);
+  w.router->list_host(0, HostState::kReady, 1, 0, 0, 0, w.now);
+  w.router->list_end();
+  const std::size_t from = w.sink.sent.size();
+  w.run(Span::s(1), 400);
+  std::size_t cold = 0;
+  for (std::size_t i = from; i < w.sink.sent.size(); ++i) cold += w.sink.sent[i].host == 0;
+  EXPECT_LT(cold, 32u);  // 50 a second is a warm host's part
+}
+
+TEST(List, AskedAgainAfterAFailure) {
+  Terms terms = usual_terms();
+  terms.must_ask = true;
+  World w(terms);
+  EXPECT_EQ(w.sink.follows, 1u);
+  w.router->list_failed();
+  w.router->woken(2);
+  EXPECT_EQ(w.sink.follows, 2u);
+}
+
+}  // namespace
+}  // namespace ashbeam
--- /dev/null
+++ b/tests/helpers.hpp
@@ -0,0 +1,149 @@
+// Shared by all tests: a sink that notes what the router does, and a small world to drive it by hand.
+#pragma once
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "choice.hpp"
+
+namespace ashbeam {
+
+struct Noted : Sink {
+  struct Sent {
+    HitId hit;
+    HostIndex host;
+    unsigned leg;
+  };
+  std::vector<Sent> sent;
+  std::map<HitId, unsigned> legs;
+  std::vector<HitId> bounced, errored;
+  std::vector<std::pair<HitId, unsigned>> cancelled;
+  std::vector<std::pair<unsigned, Vote>> votes;  // stage and vote
+  std::vector<std::string> lines;
+  unsigned follows = 0;
+  void forward(HitId hit, HostIndex host, Span) override { sent.push_back({hit, host, legs[hit]++}); }
+  void bounce(HitId hit, Span) override { bounced.push_back(hit); }
+  void error(HitId hit) override { errored.push_back(hit); }
+  void cancel(HitId hit, unsigned leg) override { cancelled.emplace_back(hit, leg); }
+  void wake(Span, std::uint64_t) override {}
+  void ask_load(HostIndex) override {}
+  void follow_list() override { ++follows; }
+  void vote(BuildId, unsigned stage, Vote vote) override { votes.emplace_back(stage, vote); }
+  void tell_peers(std::span<const std::uint8_t>) override {}
+  void log(std::string_view line) override { lines.emplace_back(line); }
+  bool voted(Vote v) const {
+    return std::any_of(votes.begin(), votes.end(), [v](const auto& x) { return x.second == v; });
+  }
+  bool logged(const std::string& part) const {
+    return std::any_of(lines.begin(), lines.end(),
+                       [&](const std::string& l) { return l.find(part) != std::string::npos; });
+  }
+};
+
+// Three path groups, one of each kind: 0 repeatable, 1 tagged by zone, 2 mutating.
+inline Terms usual_terms() {
+  Terms t;
+  for (const Repeats r : {Repeats::kRepeatable, Repeats::kTagged, Repeats::kMutating}) {
+    t.path_groups.push_back({r, DropGroup::kZone, Span::ms(600), Span::s(2), Span::s(1), 1, 0});
+  }
+  t.zones = 2;
+  t.routers = 2;
+  t.may_cancel = t.may_copy = true;
+  t.max_forwards = 4;
+  t.drain_grace = Span::s(1);
+  t.ask_within = Span::s(10);
+  t.cold_window = Span::s(1);
+  t.warm_after = Span::s(4);
+  t.tick = Span::ms(5);
+  t.start_capacity = 0.33;
+  t.caps = {0.1, 0.4, 1.0};
+  t.rings = {0.1, 0.3, 1.0};
+  t.spare = 2;
+  t.window = Span::s(2);
+  t.vote_life = Span::s(10);
+  t.bake = Span::s(2);
+  t.votes_per_s = 50;
+  return t;
+}
+
+// `earlier` hosts of build 1 and `trial` of build 2, all warm; each forward ends after what `serve` says.
+struct World {
+  struct Outcome {
+    Result result = Result::kOk;
+    Span took = Span::ms(50);
+    bool never = false;
+  };
+  Noted sink;
+  std::unique_ptr<Router> router;
+  Instant now = Instant::at_us(0) + Span::s(100);
+  std::map<HostIndex, BuildId> builds;
+  std::vector<std::pair<Instant, std::pair<Noted::Sent, Outcome>>> pending;
+  std::size_t handled = 0, answered_at = 0;
+  HitId next_hit = 1;
+  Outcome (*serve)(BuildId build, HostIndex host) = [](BuildId, HostIndex) { return Outcome{}; };
+
+  explicit World(const Terms& terms, unsigned earlier = 8, unsigned trial = 0) {
+    router = make_router(terms, 7, sink);
+    router->clock(now);
+    router->started();
+    list(earlier, trial);
+    stage(1, 2, Phase::kReleased, 1);
+  }
+  void list(unsigned earlier, unsigned trial, Instant start = Instant()) {
+    builds.clear();
+    router->clock(now);
+    router->list_begin(true);
+    for (HostIndex h = 0; h < earlier + trial; ++h) {
+      builds[h] = h < earlier ? 1 : 2;
+      router->list_host(h, HostState::kReady, builds[h], h % 2, h, 0, h < earlier ? Instant() : start);
+    }
+    router->list_end();
+  }
+  void stage(BuildId build, unsigned stage, Phase phase, double cap) {
+    router->clock(now);
+    router->stage_told(build, stage, phase, false, Answer::kTaken, cap, Span());
+  }
+  HitId take(unsigned group = 0, std::uint64_t key = 0, Span patience = Span::s(2)) {
+    router->clock(now);
+    router->taken(next_hit, group, 0, key, now + patience, 0);
+    return next_hit++;
+  }
+  void end(const Noted::Sent& s, Result result, Span took = Span::ms(50), bool terminal = false) {
+    router->clock(now);
+    router->ended(s.hit, s.leg, s.host, result, took, terminal || result == Result::kOk, {});
+  }
+  // Runs for a while at so many hits a second over the groups given, in steps of 5 ms.
+  void run(Span length, int per_s, std::vector<unsigned> groups = {0}) {
+    double due = 0;
+    for (const Instant until = now + length; now < until; now = now + Span::ms(5)) {
+      for (due += per_s * 0.005; due >= 1; due -= 1) take(groups[next_hit % groups.size()]);
+      for (; handled < sink.sent.size(); ++handled) {
+        const Outcome o = serve(builds[sink.sent[handled].host], sink.sent[handled].host);
+        if (!o.never) pending.push_back({now + o.took, {sink.sent[handled], o}});
+      }
+      for (std::size_t i = 0; i < pending.size();) {
+        if (pending[i].first > now) {
+          ++i;
+          continue;
+        }
+        const auto [sent, outcome] = pending[i].second;
+        pending.erase(pending.begin() + static_cast<std::ptrdiff_t>(i));
+        end(sent, outcome.result, outcome.took);
+      }
+      beat();
+    }
+  }
+  void beat() {
+    router->clock(now);
+    router->woken(1);
+  }
+  std::size_t sent_to(BuildId build, std::size_t from = 0) const {
+    std::size_t n = 0;
+    for (std::size_t i = from; i < sink.sent.size(); ++i) n += builds.at(sink.sent[i].host) == build;
+    return n;
+  }
+};
+
+}  // namespace ashbeam
