--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -118,7 +118,6 @@
     Repeats repeats;
     DropGroup drop;
     Span target, memory;
-    bool late_counts;
     double benefit;
     double mean_ms;  // learnt mean latency at warm hosts
     SlidingCount taken, on_trial;
@@ -142,7 +141,7 @@
         closed_stages_(t.closed_stages) {
     for (const PathGroup& g : t.path_groups) {
       groups_.push_back(
-          {g.repeats, g.group, g.target, g.memory, g.late_worth > 0, g.benefit, g.target.ms() / 6, {}, {}});
+          {g.repeats, g.group, g.target, g.memory, g.benefit, g.target.ms() / 6, {}, {}});
     }
     for (const double per_s : t.customer_per_s) customers_.push_back({per_s / t.routers, per_s / t.routers});
     for (const GroupFigures& g : groups_) mean_ms_ += g.mean_ms / static_cast<double>(groups_.size());
@@ -684,8 +683,7 @@
       return;
     }
     // Taken only if predicted in time; hits beyond a customer's share are the first to go.
-    const double room = groups_[hit.group].late_counts ? (hit.give_up_at - now_).ms() : left;
-    if (to.predicted_ms > room * hit.patience && may_bounce(hit)) {
+    if (to.predicted_ms > left * hit.patience && may_bounce(hit)) {
       give_up(hit);
       return;
     }
