--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -43,8 +43,8 @@
 constexpr Span kBeat = Span::ms(20), kJudgeEvery = Span::ms(250), kFinish = Span::ms(26);
 constexpr double kFurtherPart = 0.2, kFurtherMost = 20;
 constexpr unsigned kMostLegs = 8;
-constexpr double kFreeLoad =
-    2;  // hits a host works on side by side, roughly: from there latency grows with load
+constexpr double kQuickWeight = 1;
+constexpr double kFreeLoad = 2;  // a host's own work in open hits: from there latency grows with load
 constexpr std::uint64_t kBeatToken = 1, kAskToken = 2;
 constexpr std::size_t kSamples = 96;
 constexpr double kFade = 160;  // outcomes after which older ones count half
@@ -74,8 +74,6 @@
   Instant last_start, last_heard, last_ok, open_since, rest_until;
   Span rest = kFirstRest;
   unsigned open = 0;
-  double reported = -1, open_at_report = 0;  // hits at the host by its last report, and ours among them
-  Instant reported_at;
   double unit_ms = 0;    // learnt latency for each hit at the host, of the mean path group
   double suspicion = 0;  // log-likelihood ratio of sick against good
   bool ejected = false;
@@ -105,6 +103,7 @@
     HitId id = 0;
     bool live = false, done = false;  // live: in a place of the slab; done: finally answered
     unsigned group = 0, legs = 0;
+    double worth = 1;     // against the mean hit's
     double patience = 1;  // the part of its time that may be predicted to pass: more for what is worth more
     std::uint64_t key = 0;
     Instant taken_at, late_at, give_up_at;
@@ -133,15 +132,13 @@
       : sink_(sink), chance_(seed), zone_(t.zone), kinds_(t.kinds),
         max_forwards_(std::min(t.max_forwards, kMostLegs)), must_ask_(t.must_ask), may_cancel_(t.may_cancel),
         may_copy_(t.may_copy), by_group_(t.by_path_group), one_way_(t.one_way), clocked_(t.clocked),
-        rolling_(t.rolling), active_column_(t.active_column), longest_retry_after_(t.longest_retry_after),
-        cold_window_(t.cold_window), warm_after_(t.warm_after), tick_(t.tick), window_(t.window),
-        vote_life_(t.vote_life), vote_gap_(Span::s(2.0 * t.routers / std::max(t.votes_per_s, 1.0))),
-        start_capacity_(t.start_capacity), cross_price_(t.cross_price), over_share_worth_(t.over_share_worth),
-        first_cap_(t.caps.front()), spare_(t.spare), reported_share_(t.reported_share), rings_(t.rings),
-        closed_stages_(t.closed_stages) {
+        rolling_(t.rolling), longest_retry_after_(t.longest_retry_after), cold_window_(t.cold_window),
+        warm_after_(t.warm_after), tick_(t.tick), window_(t.window), vote_life_(t.vote_life),
+        vote_gap_(Span::s(2.0 * t.routers / std::max(t.votes_per_s, 1.0))), start_capacity_(t.start_capacity),
+        cross_price_(t.cross_price), over_share_worth_(t.over_share_worth), first_cap_(t.caps.front()),
+        spare_(t.spare), reported_share_(t.reported_share), rings_(t.rings), closed_stages_(t.closed_stages) {
     for (const PathGroup& g : t.path_groups) {
-      groups_.push_back(
-          {g.repeats, g.group, g.target, g.memory, g.benefit, g.target.ms() / 6, {}, {}});
+      groups_.push_back({g.repeats, g.group, g.target, g.memory, g.benefit, g.target.ms() / 6, {}, {}});
     }
     for (const double per_s : t.customer_per_s) customers_.push_back({per_s / t.routers, per_s / t.routers});
     for (const GroupFigures& g : groups_) mean_ms_ += g.mean_ms / static_cast<double>(groups_.size());
@@ -210,13 +207,8 @@
     ask_wait_ = std::min(ask_wait_ * 2, Span::s(2));
   }
 
-  void load_told(HostIndex h, bool answered, std::span<const float> report) override {
-    if (!answered || h >= hosts_.size() || active_column_ < 0) return;
-    if (static_cast<std::size_t>(active_column_) >= report.size()) return;
-    hosts_[h].reported = static_cast<double>(report[static_cast<std::size_t>(active_column_)]);
-    hosts_[h].open_at_report = hosts_[h].open;
-    hosts_[h].reported_at = now_;
-  }
+  // Load reports are not used: late as they are, they sent all routers to the same hosts (docs/design.md).
+  void load_told(HostIndex, bool, std::span<const float>) override {}
 
   void stage_told(BuildId build, unsigned stage, Phase phase, bool answers_vote, Answer answer, double cap,
                   Span age) override {
@@ -544,17 +536,14 @@
 
   // ---- Picking a host ----
 
-  // Hits at the host: our own open ones, and what a fresh report says of others'.
-  double load_of(const Host& host) const {
-    const double own = host.open;
-    if (host.reported < 0 || now_ - host.reported_at > Span::s(1.5)) return own;
-    return std::max(own, host.reported + own - host.open_at_report);
+  double quickness(const Host& host) const {
+    return std::pow(usual_unit_ms_ / (host.unit_ms > 0 ? host.unit_ms : usual_unit_ms_), kQuickWeight);
   }
 
   double predicted(const Hit& hit, HostIndex h) const {
     const Host& host = hosts_[h];
     const double unit = host.unit_ms > 0 ? host.unit_ms : usual_unit_ms_;
-    double ms = groups_[hit.group].mean_ms / mean_ms_ * unit * (kFreeLoad + load_of(host));
+    double ms = groups_[hit.group].mean_ms / mean_ms_ * unit * (kFreeLoad + host.open);
     if (!warm(host)) {
       const double grown = std::clamp((now_ - host.last_start) / warm_after_, 0.0, 1.0);
       ms /= start_capacity_ + (1 - start_capacity_) * grown;
@@ -568,7 +557,27 @@
     return now_ >= host.rest_until && host.open == 0;
   }
 
-  // Two random choices near by and two further off; the further one must win by what the crossing costs.
+  // Two random choices, quick hosts drawn more often; two more where neither leaves the hit much room.
+  Pick two_choices(const Hit& hit, std::vector<HostIndex>& list) {
+    const double roomy = (hit.late_at - now_).ms() / 4;
+    Pick best;
+    for (int draw = 0; draw < 4 && !list.empty(); ++draw) {
+      if (draw == 2 && best.predicted_ms < roomy) break;
+      double all = 0;
+      for (const HostIndex h : list) all += quickness(hosts_[h]);
+      double at = chance_.unit() * all;
+      std::size_t i = 0;
+      while (i + 1 < list.size() && (at -= quickness(hosts_[list[i]])) > 0) ++i;
+      const double ms = predicted(hit, list[i]);
+      if (!best || ms < best.predicted_ms) best = {list[i], ms};
+      list[i] = list.back();
+      list.pop_back();
+    }
+    return best;
+  }
+
+  // Near by first; further off where that is worth its price: the part of its worth a hit gains in likely
+  // being in time, were times spread exponentially.
   Pick pick(const Hit& hit, Side side, double share) {
     for (const bool only_fit : {true, false}) {
       own_.clear(), other_.clear();
@@ -579,22 +588,14 @@
         if (!may_forward(hit, h, share)) continue;
         (host.zone == zone_ ? own_ : other_).push_back(h);
       }
-      Pick best;
-      for (auto* list : {&own_, &other_}) {
-        const double extra = list == &own_ ? 0 : cross_price_ * 4 * groups_[hit.group].target.ms();
-        for (int draw = 0; draw < 2 && !list->empty(); ++draw) {
-          const std::size_t i = chance_.below(static_cast<std::uint32_t>(list->size()));
-          const HostIndex h = (*list)[i];
-          (*list)[i] = list->back();
-          list->pop_back();
-          const double ms = predicted(hit, h) + extra;
-          if (!best || ms < best.predicted_ms) best = {h, ms};
-        }
-      }
-      if (best) {
-        best.predicted_ms = predicted(hit, best.host);
-        return best;
+      const Pick near = two_choices(hit, own_), far = two_choices(hit, other_);
+      if (!near || !far) {
+        if (near || far) return near ? near : far;
+        continue;
       }
+      const double left = (hit.late_at - now_).ms();
+      const double gain = std::exp(-left / near.predicted_ms) - std::exp(-left / far.predicted_ms);
+      return gain * hit.worth > cross_price_ ? far : near;
     }
     return {};
   }
@@ -650,6 +651,8 @@
       if (c.tokens < 1) worth *= over_share_worth_;
       else c.tokens -= 1;
     }
+    mean_worth_ += 0.01 * (worth * groups_[group].mean_ms - mean_worth_);
+    hit.worth = worth * groups_[group].mean_ms / std::max(mean_worth_, 1e-9);
     hit.patience = 0.25 + 0.5 * worth / best_worth_;
     groups_[group].taken.add(now_);
     all_taken_.add(now_);
@@ -692,7 +695,7 @@
 
   void send(Hit& hit, Pick to) {
     Host& host = hosts_[to.host];
-    hit.leg[hit.legs++] = {to.host, host.build, now_, to.predicted_ms, load_of(host), true, true};
+    hit.leg[hit.legs++] = {to.host, host.build, now_, to.predicted_ms, 1.0 * host.open, true, true};
     if (host.open++ == 0) host.open_since = now_;
     host.forwards.add(now_);
     if (on_trial(host.build)) groups_[by_group_ ? hit.group : 0].on_trial.add(now_);
@@ -776,7 +779,7 @@
   }
 
   void ended(HitId id, unsigned leg, HostIndex h, Result result, Span took, bool terminal,
-             std::span<const float> report) override {
+             std::span<const float>) override {
     const std::uint32_t place = places_.find(id);
     if (place == IndexMap::kNone || h >= hosts_.size()) return;
     Hit& hit = hits_[place];
@@ -787,7 +790,6 @@
     Host& host = hosts_[h];
     host.open -= host.open > 0;
     host.last_heard = now_;
-    load_told(h, true, report);
     learn(hit, f, result, took);
     if (result == Result::kOk && one_way_ && hit.key != 0 && f.build >= build_) {
       const std::uint32_t bound = pins_.find(hit.key);
@@ -947,7 +949,6 @@
   std::vector<Customer> customers_;
   unsigned zone_, kinds_, max_forwards_;
   bool must_ask_, may_cancel_, may_copy_, by_group_, one_way_, clocked_, rolling_;
-  int active_column_;
   Span longest_retry_after_, cold_window_, warm_after_, tick_, window_, vote_life_, vote_gap_;
   double start_capacity_, cross_price_, over_share_worth_, first_cap_, spare_, reported_share_;
   std::vector<double> rings_;
@@ -979,7 +980,7 @@
   std::vector<std::uint32_t> key_hits_;
   IndexMap key_index_;
   double mean_ms_ = 0, usual_unit_ms_ = 0, recent_unit_ms_ = 0, calm_unit_ms_ = 0, calm_ready_ = 0,
-         best_worth_ = 0, taken_total_ = 0, further_ = kFurtherMost;
+         best_worth_ = 0, mean_worth_ = 1, taken_total_ = 0, further_ = kFurtherMost;
   SlidingCount all_taken_;
 };
 
