--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -43,8 +43,8 @@
 constexpr Span kBeat = Span::ms(20), kJudgeEvery = Span::ms(250), kFinish = Span::ms(26);
 constexpr double kFurtherPart = 0.2, kFurtherMost = 20;
 constexpr unsigned kMostLegs = 8;
-constexpr double kQuickWeight = 1;
-constexpr double kFreeLoad = 2;  // a host's own work in open hits: from there latency grows with load
+constexpr double kQuickWeight = 0.5;
+constexpr double kFreeLoad = 1;  // a host's own work in open hits: from there latency grows with load
 constexpr std::uint64_t kBeatToken = 1, kAskToken = 2;
 constexpr std::size_t kSamples = 96;
 constexpr double kFade = 160;  // outcomes after which older ones count half
