--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -320,16 +320,20 @@
   }
 
   // Failures of the trial against the earlier builds, by path group and pooled. A single sick host must not
-  // convict a build: with two hosts or more the worst one is left out.
+  // convict a build: with two hosts or more the worst one is left out; and while hosts of earlier builds are
+  // out for failing, a lone trial host that fails is one more of them: its build is only held.
   Harm failures(Count& trial, Count& earlier) {
     HostIndex worst = IndexMap::kNone;
     double most = 0;
     unsigned tried = 0;
+    bool sickness = false;
     for (HostIndex h = 0; h < hosts_.size(); ++h) {
       const Host& host = hosts_[h];
-      if (host.state == HostState::kGone || host.build != build_) continue;
+      if (host.state == HostState::kGone) continue;
       double failed = 0, all = 0;
       for (const Count& c : host.by_group) failed += c.failed, all += c.all;
+      if (host.build < build_) sickness = sickness || (host.ejected && failed >= kModerateFails);
+      if (host.build != build_) continue;
       tried += all > 0;
       if (failed > most) most = failed, worst = h;
     }
@@ -353,7 +357,8 @@
         trial = t, earlier = e;
       }
       if (t.all < (pooled ? kFewOutcomes : kFewOutcomes / 2)) continue;
-      harm = std::max(harm, marks(t, base));
+      harm =
+          std::max(harm, tried == 1 && sickness ? std::min(marks(t, base), Harm::kModerate) : marks(t, base));
     }
     return trial.all < kFewOutcomes ? Harm::kQuiet : harm;
   }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -78,6 +78,18 @@
   EXPECT_TRUE(w.sink.logged("host 9 out"));
 }
 
+TEST(Judging, ALoneSickTrialHostIsHeldWhileEarlierHostsAreSickToo) {
+  for (const bool others : {false, true}) {
+    World w = on_trial(usual_terms(), 0.4, 8, 1);
+    w.serve =
+        others ? [](BuildId, HostIndex h) { return Outcome{h < 2 || h == 8 ? Result::kError : Result::kOk}; }
+               : [](BuildId, HostIndex h) { return Outcome{h == 8 ? Result::kError : Result::kOk}; };
+    w.run(Span::s(6), 200);
+    EXPECT_EQ(w.sink.voted(Vote::kBack), !others);
+    EXPECT_FALSE(w.sink.voted(Vote::kOn));
+  }
+}
+
 TEST(Judging, FailuresEverywhereAreNotTheTrials) {
   World w = on_trial();
   w.serve = [](BuildId, HostIndex) {
