--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -433,7 +433,7 @@
     // trial.
     const double all_slow = calm_unit_ms_ > 0 && phase_ == Phase::kTrial &&
                                     now_ - last_trouble_ > kTroubleFades &&
-                                    static_cast<double>(ready_) > 0.9 * calm_ready_
+                                    static_cast<double>(ready_ - ejected_) > 0.9 * calm_ready_
                                 ? recent_unit_ms_ / calm_unit_ms_
                                 : 1;
     if (all_slow > kAllSlow || slow(kModerateSlow, kFewOutcomes)) {
