--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -47,6 +47,7 @@
 constexpr double kFreeLoad = 1;  // a host's own work in open hits: from there latency grows with load
 constexpr std::uint64_t kBeatToken = 1, kAskToken = 2;
 constexpr std::size_t kSamples = 96;
+constexpr Span kSameTimes = Span::s(10);
 constexpr double kFade = 160;  // outcomes after which older ones count half
 
 struct Forward {
@@ -83,6 +84,7 @@
 };
 
 struct Sample {
+  Instant at;
   float ms = 0;
   HostIndex host = 0;
 };
@@ -282,7 +284,7 @@
     group.mean_ms += 0.02 * (std::min(ms, group.mean_ms * 10) - group.mean_ms);
     mean_ms_ += 0.02 * (std::min(ms, mean_ms_ * 10) - mean_ms_);
     if (host.build <= build_) {
-      samples(side(host), host.kind, hit.group).add({static_cast<float>(ms), f.host});
+      samples(side(host), host.kind, hit.group).add({now_, static_cast<float>(ms), f.host});
     }
   }
 
@@ -374,6 +376,7 @@
     return harm;
   }
 
+  // Only times of the same few seconds are compared: load and outside trouble change all of them.
   // A sign test: do clearly more than half of the trial's times lie above `mark` times the earlier median for
   // like machines and path group? The worst host is left out, as for failures.
   bool slow(double mark, double least) {
@@ -382,12 +385,15 @@
     for (unsigned kind = 0; kind < kinds_; ++kind) {
       for (unsigned g = 0; g < groups_.size(); ++g) {
         const Samples &e = samples(Side::kEarlier, kind, g), &t = samples(Side::kTrial, kind, g);
-        if (static_cast<double>(e.size()) < kFewOutcomes / 2) continue;
-        float* const end =
-            std::transform(e.begin(), e.end(), sorted.data(), [](const Sample& s) { return s.ms; });
-        float* const middle = sorted.data() + e.size() / 2;
+        float* end = sorted.data();
+        for (const Sample& s : e) {
+          if (now_ - s.at < kSameTimes) *end++ = s.ms;
+        }
+        if (end - sorted.data() < static_cast<int>(kFewOutcomes / 2)) continue;
+        float* const middle = sorted.data() + (end - sorted.data()) / 2;
         std::nth_element(sorted.data(), middle, end);
         for (const Sample& s : t) {
+          if (now_ - s.at >= kSameTimes) continue;
           seen[s.host].first += 1;
           seen[s.host].second += s.ms > static_cast<float>(mark) * *middle;
         }
@@ -436,7 +442,8 @@
                                     static_cast<double>(ready_ - ejected_) > 0.9 * calm_ready_
                                 ? recent_unit_ms_ / calm_unit_ms_
                                 : 1;
-    if (all_slow > kAllSlow || slow(kModerateSlow, kFewOutcomes)) {
+    const bool beside = phase_ == Phase::kTrial;  // after a release the times have nothing to stand beside
+    if (beside && (all_slow > kAllSlow || slow(kModerateSlow, kFewOutcomes))) {
       // Departure: moderate harm that lasts, far above its mark, is severe: votes alone can end it.
       if (harm_from_ > Instant() && now_ - harm_from_ >= kLasting &&
           (all_slow > kAllSlowLasting || slow(kLastingSlow, kLastingOutcomes))) {
