--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -665,7 +665,7 @@
     }
     mean_worth_ += 0.01 * (worth * groups_[group].mean_ms - mean_worth_);
     hit.worth = worth * groups_[group].mean_ms / std::max(mean_worth_, 1e-9);
-    hit.patience = 0.25 + 0.5 * worth / best_worth_;
+    hit.patience = 0.3 + 0.6 * worth / best_worth_;
     groups_[group].taken.add(now_);
     all_taken_.add(now_);
     taken_total_ += 1;
