--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -665,7 +665,7 @@
     }
     mean_worth_ += 0.01 * (worth * groups_[group].mean_ms - mean_worth_);
     hit.worth = worth * groups_[group].mean_ms / std::max(mean_worth_, 1e-9);
-    hit.patience = 0.3 + 0.6 * worth / best_worth_;
+    hit.patience = 0.25 + 0.5 * worth / best_worth_;
     groups_[group].taken.add(now_);
     all_taken_.add(now_);
     taken_total_ += 1;
@@ -697,8 +697,9 @@
       give_up(hit);
       return;
     }
-    // Taken only if predicted in time; hits beyond a customer's share are the first to go.
-    if (to.predicted_ms > left * hit.patience && may_bounce(hit)) {
+    // Taken only if predicted in time; what is worth least is the first to go. A host that holds none of our
+    // hits takes one all the same: were it refused on old times, nothing new would ever be learnt of it.
+    if (hosts_[to.host].open > 0 && to.predicted_ms > left * hit.patience && may_bounce(hit)) {
       give_up(hit);
       return;
     }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -272,6 +272,17 @@
   EXPECT_GT(static_cast<std::size_t>(cheap), w.sink.bounced.size() / 2);
 }
 
+TEST(Hits, RefusalDoesNotOutliveTheJam) {
+  World w(usual_terms(), 4);
+  w.serve = [](BuildId, HostIndex) { return Outcome{Result::kOk, Span::ms(900)}; };
+  w.run(Span::s(6), 100);
+  w.serve = [](BuildId, HostIndex) { return Outcome{}; };
+  w.run(Span::s(6), 40);
+  const std::size_t bounced = w.sink.bounced.size();
+  w.run(Span::s(2), 40);
+  EXPECT_LT(w.sink.bounced.size() - bounced, 8u);
+}
+
 TEST(Hosts, DrainingAndGoneGetNothing) {
   World w(usual_terms(), 4);
   w.router->list_begin(false);
