--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -30,8 +30,8 @@
 // Ours: a slow build convicts itself only by lasting harm, far above the moderate mark.
 constexpr double kLastingSlow = 1.6, kLastingOutcomes = 40;
 constexpr Span kLasting = Span::s(3);
-constexpr double kAllSlow = 1.8,
-                 kAllSlowLasting = 2.8;     // all hosts' latency for a hit at the host, against before
+// All hosts' latency for a hit at the host, against the time before the build was offered.
+constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.3;
 constexpr Span kTroubleFades = Span::s(8);  // hosts lost from outside explain slowness for so long
 // Wrong answers reach us as a sample of reports: how many it takes, and the part of answers they stand for.
 constexpr double kFewReports = 3, kWrongPart = 0.03;
