--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -48,7 +48,8 @@
 constexpr std::uint64_t kBeatToken = 1, kAskToken = 2;
 constexpr std::size_t kSamples = 96;
 constexpr Span kSameTimes = Span::s(10);
-constexpr double kFade = 160;  // outcomes after which older ones count half
+constexpr double kFade = 80;  // a host's outcomes in a path group after which older ones count half
+constexpr double kTallyFade = 160;
 
 struct Forward {
   HostIndex host = 0;
@@ -244,7 +245,7 @@
                   Span) override {
     if (group >= groups_.size() || build > build_) return;
     Count& c = tally_[(build == build_ ? groups_.size() : 0) + group];
-    if (c.all > kFade) c.all /= 2, c.failed /= 2;
+    if (c.all > kTallyFade) c.all /= 2, c.failed /= 2;
     c.all += count;
     c.failed += lost;
   }
@@ -321,13 +322,12 @@
     return more >= kModeratePoints && trial.failed >= kModerateFails ? Harm::kModerate : Harm::kQuiet;
   }
 
-  // Failures of the trial against the earlier builds, by path group and pooled. A single sick host must not
-  // convict a build: with two hosts or more the worst one is left out; and while hosts of earlier builds are
-  // out for failing, a lone trial host that fails is one more of them: its build is only held.
+  // Failures of the trial against the earlier builds, by path group and pooled. A few sick hosts must not
+  // convict a build: with two hosts or more the one that fails most is left out, after a release the quarter;
+  // and while hosts of earlier builds are out for failing, a lone trial host that fails is one more of them:
+  // its build is only held.
   Harm failures(Count& trial, Count& earlier) {
-    HostIndex worst = IndexMap::kNone;
-    double most = 0;
-    unsigned tried = 0;
+    std::vector<std::pair<double, HostIndex>> tried;
     bool sickness = false;
     for (HostIndex h = 0; h < hosts_.size(); ++h) {
       const Host& host = hosts_[h];
@@ -335,17 +335,19 @@
       double failed = 0, all = 0;
       for (const Count& c : host.by_group) failed += c.failed, all += c.all;
       if (host.build < build_) sickness = sickness || (host.ejected && failed >= kModerateFails);
-      if (host.build != build_) continue;
-      tried += all > 0;
-      if (failed > most) most = failed, worst = h;
+      if (host.build == build_ && all > 0) tried.emplace_back(-failed, h);
     }
+    std::sort(tried.begin(), tried.end());
+    std::vector<bool> left_out(hosts_.size());
+    const std::size_t spared = tried.size() < 2 ? 0 : phase_ == Phase::kReleased ? (tried.size() + 3) / 4 : 1;
+    for (std::size_t i = 0; i < spared; ++i) left_out[tried[i].second] = true;
     Harm harm = Harm::kQuiet;
     for (std::size_t g = 0; g <= groups_.size(); ++g) {
       Count t, e;
       for (HostIndex h = 0; h < hosts_.size(); ++h) {
         const Host& host = hosts_[h];
         if (host.state == HostState::kGone || host.build > build_) continue;
-        if (host.ejected || (tried > 1 && h == worst)) continue;
+        if (host.ejected || left_out[h]) continue;
         Count& sum = side(host) == Side::kTrial ? t : e;
         for (std::size_t i = 0; i < groups_.size(); ++i) {
           if (g != groups_.size() && i != g) continue;
@@ -359,8 +361,8 @@
         trial = t, earlier = e;
       }
       if (t.all < (pooled ? kFewOutcomes : kFewOutcomes / 2)) continue;
-      harm =
-          std::max(harm, tried == 1 && sickness ? std::min(marks(t, base), Harm::kModerate) : marks(t, base));
+      harm = std::max(
+          harm, tried.size() == 1 && sickness ? std::min(marks(t, base), Harm::kModerate) : marks(t, base));
     }
     return trial.all < kFewOutcomes ? Harm::kQuiet : harm;
   }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -90,6 +90,19 @@
   }
 }
 
+TEST(Judging, AFewSickHostsDoNotSendBackAReleasedBuild) {
+  for (const bool all : {false, true}) {
+    World w(usual_terms(), 0, 12);
+    w.stage(2, 2, Phase::kReleased, 1);
+    w.serve = all ? [](BuildId, HostIndex) {
+      static int n = 0;
+      return Outcome{++n % 5 == 0 ? Result::kError : Result::kOk};
+    } : [](BuildId, HostIndex h) { return Outcome{h < 3 && h % 2 == 0 ? Result::kError : Result::kOk}; };
+    w.run(Span::s(4), 200);
+    EXPECT_EQ(w.sink.voted(Vote::kBack), all);
+  }
+}
+
 TEST(Judging, FailuresEverywhereAreNotTheTrials) {
   World w = on_trial();
   w.serve = [](BuildId, HostIndex) {
