--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -99,7 +99,7 @@
 };
 
 enum class Harm { kQuiet, kModerate, kSevere };
-enum class Side : std::uint8_t { kEarlier, kTrial, kAny };
+enum class Side : std::uint8_t { kEarlier, kTrial };
 
 class Choice final : public Router {
   struct Hit {
@@ -109,7 +109,7 @@
     double worth = 1;     // against the mean hit's
     double patience = 1;  // the part of its time that may be predicted to pass: more for what is worth more
     std::uint64_t key = 0;
-    Instant taken_at, late_at, give_up_at;
+    Instant late_at, give_up_at;
     std::array<Forward, kMostLegs> leg;
     // What comes next: at a time, and when a forward's result is handed in.
     Instant due = Instant::never();
@@ -437,18 +437,18 @@
       return harm;
     }
     // Departure: a build that slows old and new hosts alike shows only against the times before it came.
-    // Covers any harm in step with the trial that comparing builds hides; does harm where a jam falls on a
-    // trial.
-    const double all_slow = calm_unit_ms_ > 0 && phase_ == Phase::kTrial &&
-                                    now_ - last_trouble_ > kTroubleFades &&
-                                    static_cast<double>(ready_ - ejected_) > 0.9 * calm_ready_
-                                ? recent_unit_ms_ / calm_unit_ms_
-                                : 1;
-    const bool beside = phase_ == Phase::kTrial;  // after a release the times have nothing to stand beside
-    if (beside && (all_slow > kAllSlow || slow(kModerateSlow, kFewOutcomes))) {
-      // Departure: moderate harm that lasts, far above its mark, is severe: votes alone can end it.
+    // Covers any harm in step with the trial that comparing builds hides, so not while the trial is a sliver
+    // of the fleet; does harm where a jam falls on a trial. A released build has nothing beside it: there
+    // only twice as much counts.
+    const bool beside = phase_ == Phase::kTrial;
+    const bool calm =
+        now_ - last_trouble_ > kTroubleFades && static_cast<double>(ready_ - ejected_) > 0.9 * calm_ready_;
+    const double all_slow =
+        calm && calm_unit_ms_ > 0 ? recent_unit_ms_ / calm_unit_ms_ / (beside ? 1 : 2) : 1;
+    if (all_slow > kAllSlow || (beside && slow(kModerateSlow, kFewOutcomes))) {
+      // Departure: lasting harm far above its mark is severe: votes alone can end it.
       if (harm_from_ > Instant() && now_ - harm_from_ >= kLasting &&
-          (all_slow > kAllSlowLasting || slow(kLastingSlow, kLastingOutcomes))) {
+          (all_slow > kAllSlowLasting || (beside && slow(kLastingSlow, kLastingOutcomes)))) {
         log("slow for %.1f s: all hosts %.2f x before the trial", (now_ - harm_from_).s(), all_slow);
         return Harm::kSevere;
       }
@@ -490,10 +490,14 @@
       cast(Vote::kBack);
       return;
     }
-    if (phase_ == Phase::kReleased) return;
     if (harm == Harm::kModerate) {
       if (harm_from_ == Instant()) harm_from_ = now_;
       last_harm_ = now_;
+    } else if (now_ - last_harm_ >= kQuietStep) {
+      harm_from_ = Instant();
+    }
+    if (phase_ == Phase::kReleased) return;
+    if (harm == Harm::kModerate) {
       if (!stepped_back_) {
         share_ = std::max(share_ - kShareStep, kShareStep);
         stepped_back_ = true;
@@ -505,7 +509,6 @@
       return;
     }
     stepped_back_ = false;
-    if (now_ - last_harm_ >= kQuietStep) harm_from_ = Instant();
     if (trial_ready_ == 0) quiet_from_ = now_;  // nothing to be quiet about yet
     if (now_ - quiet_from_ >= kQuietStep && share_ < 1) {
       share_ = std::min(1.0, share_ + kShareStep);
@@ -599,7 +602,7 @@
       for (HostIndex h = 0; h < hosts_.size(); ++h) {
         const Host& host = hosts_[h];
         if (only_fit && !fit(host)) continue;
-        if (side != Side::kAny && on_trial(host.build) != (side == Side::kTrial)) continue;
+        if (on_trial(host.build) != (side == Side::kTrial)) continue;
         if (!may_forward(hit, h, share)) continue;
         (host.zone == zone_ ? own_ : other_).push_back(h);
       }
@@ -621,8 +624,7 @@
     const double part = trial_part();
     bool drawn = false;
     if (one_way_ && hit.key != 0) {
-      // The key decides, so that bound keys stay a stable set; keys too popular for the cap wait for a later
-      // stage.
+      // The key decides: bound keys stay a stable set. Keys too popular for the cap wait for a later stage.
       const std::uint64_t mixed = (hit.key ^ (hit.key >> 32U)) * 0x9e3779b97f4a7c15ULL;
       const double popular = key_hits_[key_index_.find(hit.key)] / std::max(taken_total_, 50.0);
       drawn =
@@ -633,11 +635,9 @@
     const double left = (hit.late_at - now_).ms();
     Pick first = pick(hit, drawn ? Side::kTrial : Side::kEarlier, share_);
     if (first && first.predicted_ms <= left * 0.6) return first;
-    const bool hard = !first;
-    const bool trial_open = !braked_ || earlier_ready_ == 0;
-    if (!drawn && !trial_open) return first;
+    if (!drawn && braked_ && earlier_ready_ > 0) return first;
     const Pick second = pick(hit, drawn ? Side::kEarlier : Side::kTrial, 1.0);
-    if (second && (hard || second.predicted_ms < first.predicted_ms * 0.7)) return second;
+    if (second && (!first || second.predicted_ms < first.predicted_ms * 0.7)) return second;
     return first;
   }
 
@@ -656,7 +656,6 @@
     hit.live = true;
     hit.group = group;
     hit.key = key;
-    hit.taken_at = now_;
     hit.give_up_at = give_up_at - kFinish;
     hit.late_at = std::min(now_ + groups_[group].target, hit.give_up_at);
     double worth = groups_[group].benefit / groups_[group].mean_ms;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -150,6 +150,14 @@
   }
 }
 
+TEST(Judging, AReleasedBuildUnderWhichAllGrowsSlowGoesBack) {
+  World w = on_trial();
+  w.stage(2, 2, Phase::kReleased, 1);
+  w.serve = [](BuildId, HostIndex) { return Outcome{Result::kOk, Span::ms(500)}; };
+  w.run(Span::s(10), 60);
+  EXPECT_TRUE(w.sink.voted(Vote::kBack));
+}
+
 TEST(Judging, DisputedAnswersConvict) {
   Terms terms = usual_terms();
   terms.reported_share = 0.15;
