--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -277,7 +277,7 @@
     // sick.
     if (result != Result::kOk && (ms < f.predicted_ms || host.last_ok <= f.sent)) return;
     const double unit = ms * mean_ms_ / group.mean_ms / (kFreeLoad + f.load);
-    if (host.unit_ms <= 0) host.unit_ms = usual_unit_ms_;
+    host.unit_ms = unit_ms(host);
     host.unit_ms += 0.1 * (std::min(unit, host.unit_ms * 10) - host.unit_ms);
     if (!warm(host)) return;
     recent_unit_ms_ += 0.03 * (std::min(unit, recent_unit_ms_ * 10) - recent_unit_ms_);
@@ -437,9 +437,8 @@
       return harm;
     }
     // Departure: a build that slows old and new hosts alike shows only against the times before it came.
-    // Covers any harm in step with the trial that comparing builds hides, so not while the trial is a sliver
-    // of the fleet; does harm where a jam falls on a trial. A released build has nothing beside it: there
-    // only twice as much counts.
+    // Covers any harm in step with the trial that comparing builds hides; does harm where a jam falls on a
+    // trial. A released build has nothing beside it: there only twice as much counts.
     const bool beside = phase_ == Phase::kTrial;
     const bool calm =
         now_ - last_trouble_ > kTroubleFades && static_cast<double>(ready_ - ejected_) > 0.9 * calm_ready_;
@@ -554,19 +553,20 @@
 
   // ---- Picking a host ----
 
-  double quickness(const Host& host) const {
-    return std::pow(usual_unit_ms_ / (host.unit_ms > 0 ? host.unit_ms : usual_unit_ms_), kQuickWeight);
+  double unit_ms(const Host& host) const { return host.unit_ms > 0 ? host.unit_ms : usual_unit_ms_; }
+
+  // The part of its capacity that a host can count on at its age.
+  double able(const Host& host) const {
+    const double grown = std::clamp((now_ - host.last_start) / warm_after_, 0.0, 1.0);
+    return start_capacity_ + (1 - start_capacity_) * grown;
   }
 
+  double quickness(const Host& host) const { return std::pow(usual_unit_ms_ / unit_ms(host), kQuickWeight); }
+
   double predicted(const Hit& hit, HostIndex h) const {
     const Host& host = hosts_[h];
-    const double unit = host.unit_ms > 0 ? host.unit_ms : usual_unit_ms_;
-    double ms = groups_[hit.group].mean_ms / mean_ms_ * unit * (kFreeLoad + host.open);
-    if (!warm(host)) {
-      const double grown = std::clamp((now_ - host.last_start) / warm_after_, 0.0, 1.0);
-      ms /= start_capacity_ + (1 - start_capacity_) * grown;
-    }
-    return ms;
+    const double ms = groups_[hit.group].mean_ms / mean_ms_ * unit_ms(host) * (kFreeLoad + host.open);
+    return warm(host) ? ms : ms / able(host);
   }
 
   bool fit(const Host& host) const {
@@ -748,9 +748,7 @@
   }
 
   void after_forward(Hit& hit, Result) {
-    for (unsigned i = 0; i < hit.legs; ++i) {
-      if (hit.leg[i].out) return;  // a copy is still on its way
-    }
+    if (any_out(hit)) return;  // a copy is still on its way
     const bool in_time = now_ + Span::ms(groups_[hit.group].mean_ms * 0.5) < hit.give_up_at;
     if (!in_time || hit.legs >= max_forwards_ || further_ < 1) {
       give_up(hit);
@@ -783,10 +781,7 @@
   }
 
   void drop_if_over(Hit& hit) {
-    if (!hit.done) return;
-    for (unsigned i = 0; i < hit.legs; ++i) {
-      if (hit.leg[i].out) return;
-    }
+    if (any_out(hit)) return;
     const std::uint32_t place = places_.find(hit.id);
     places_.erase(hit.id);
     hit.live = false;
@@ -865,7 +860,6 @@
 
   // A build is on trial unless it is told to be released; what the news does not name yet is as well.
   bool on_trial(BuildId build) const {
-    if (!told_) return build > build_;
     return build > build_ || (build == build_ && phase_ != Phase::kReleased);
   }
 
@@ -884,8 +878,7 @@
   // its age. Guards against pushing it over; all routers doing so, their sum is as safe as the warm hosts'
   // is.
   bool cold_allows(Host& host) {
-    const Span age = now_ - host.last_start;
-    if (age >= warm_after_ + Span::ms(300)) return true;
+    if (now_ - host.last_start >= warm_after_ + Span::ms(300)) return true;
     const Instant since = now_ - cold_window_;
     double sent = 0, warm_hosts = 0;
     std::size_t in = 0;
@@ -899,8 +892,7 @@
     }
     const double even = all / static_cast<double>(std::max<std::size_t>(ready_, 1));
     const double usual = warm_hosts > 0 ? std::min(sent / warm_hosts, 1.3 * even) : 0.7 * even;
-    const double able = start_capacity_ + (1 - start_capacity_) * std::clamp(age / warm_after_, 0.0, 1.0);
-    return static_cast<double>(host.forwards.from(since)) < 1 + usual * able;
+    return static_cast<double>(host.forwards.from(since)) < 1 + usual * able(host);
   }
 
   // The one place that says whether a forward is allowed.
@@ -929,6 +921,10 @@
     return cold_allows(host);
   }
 
+  static bool any_out(const Hit& hit) {
+    return std::any_of(hit.leg.begin(), hit.leg.begin() + hit.legs, [](const Forward& f) { return f.out; });
+  }
+
   bool may_have_run(const Hit& hit) const {
     for (unsigned i = 0; i < hit.legs; ++i) {
       if (hit.leg[i].out || hit.leg[i].may_have_run) return true;
