--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -81,6 +81,7 @@
   bool ejected = false;
   std::vector<Count> by_group;
   double answers = 0, disputed = 0;
+  double phase = 0;  // this router's lot for the part of a hit that a cold host may have
   SlidingCount forwards;
 };
 
@@ -149,6 +150,8 @@
     if (!t.retry_after) longest_retry_after_ = Span();
     samples_.resize(2 * kinds_ * groups_.size());
     tally_.resize(2 * groups_.size());
+    cold_part_.resize(kinds_);
+    cold_scratch_.resize(kinds_);
   }
 
   // ---- News ----
@@ -175,6 +178,7 @@
       host.forwards = std::move(forwards);
       host.by_group.resize(groups_.size());
       host.last_heard = now_;
+      host.phase = chance_.unit();
     }
     host.in_list = true;
     host.state = state;
@@ -227,8 +231,9 @@
       stage_since_ = now_ - age;
       if (standing_ == Vote::kOn || standing_ == Vote::kHold) standing_ = Vote::kNone;
       held_ = false;
-      log("build %u stage %u phase %d cap %.3f share %.2f", build, stage, static_cast<int>(phase), cap,
-          share_);
+      if (told_ || phase == Phase::kTrial)
+        log("build %u stage %u phase %d cap %.3f share %.2f", build, stage, static_cast<int>(phase), cap,
+            share_);
     }
     if (phase == Phase::kReverting || phase == Phase::kWithdrawn) {
       pins_ = IndexMap();  // the build went back: no key is bound to it any longer
@@ -830,6 +835,7 @@
     sink_.wake(kBeat, kBeatToken);
     for (Customer& c : customers_)
       c.tokens = std::min(c.tokens + c.per_s * kBeat.s(), std::max(c.per_s, 1.0));
+    weigh_cold_part();
     ejected_ = 0;
     for (HostIndex h = 0; h < hosts_.size(); ++h) {
       Host& host = hosts_[h];
@@ -837,7 +843,7 @@
       // A host that takes hits and answers none: its silence counts as failures, one for each long wait.
       const Span silence = now_ - std::max(host.last_heard, host.open_since);
       if (host.open == 0 && silence > Span::s(1)) host.unit_ms *= 0.995;  // old news of a slow host fades
-      const Span usual = Span::ms(host.unit_ms * (kFreeLoad + host.open));
+      const Span usual = Span::ms(unit_ms(host) * (kFreeLoad + host.open));
       if (host.open > 0 && silence > std::max(Span::ms(800), usual * 4))
         host.last_heard = now_, weigh(h, true);
       if (host.ejected && now_ >= host.rest_until && host.suspicion <= 0) {
@@ -874,25 +880,34 @@
     return static_cast<double>(out) + 1 <= spare_ + cap * static_cast<double>(in) * share;
   }
 
-  // A cold host gets no more than what a warm one of its kind gets from us, scaled by the least it can do at
-  // its age. Guards against pushing it over; all routers doing so, their sum is as safe as the warm hosts'
-  // is.
+  // A cold host gets no more than what a warm one of its kind gets from us, nor than its part of all hits by
+  // ability, scaled by the least it can do at its age. Guards against pushing it over. What is less than one
+  // hit a window is drawn by lot (the host's phase), so that many routers together send it what they may.
   bool cold_allows(Host& host) {
     if (now_ - host.last_start >= warm_after_ + Span::ms(300)) return true;
-    const Instant since = now_ - cold_window_;
-    double sent = 0, warm_hosts = 0;
-    std::size_t in = 0;
-    for (GroupFigures& g : groups_) in += g.taken.from(now_ - std::max(window_, cold_window_) + tick_);
-    const double all = static_cast<double>(in) * (cold_window_ / std::max(window_, cold_window_));
-    for (Host& other : hosts_) {
-      if (other.state != HostState::kReady || other.kind != host.kind || !warm(other) || other.ejected)
-        continue;
-      sent += static_cast<double>(other.forwards.from(since));
-      warm_hosts += 1;
+    const auto sent = static_cast<double>(host.forwards.from(now_ - cold_window_));
+    return sent + host.phase < cold_part_[host.kind] * able(host);
+  }
+
+  // What a host at its full capacity may get from us in a cold window, by kind.
+  void weigh_cold_part() {
+    const Span long_window = std::max(window_, cold_window_);
+    double in = 0, ability = 0;
+    for (GroupFigures& g : groups_) in += static_cast<double>(g.taken.from(now_ - long_window + tick_));
+    std::fill(cold_part_.begin(), cold_part_.end(), 0);
+    std::vector<double>& warm_hosts = cold_scratch_;
+    std::fill(warm_hosts.begin(), warm_hosts.end(), 0);
+    for (Host& host : hosts_) {
+      if (host.state != HostState::kReady) continue;
+      ability += able(host);
+      if (!warm(host) || host.ejected) continue;
+      cold_part_[host.kind] += static_cast<double>(host.forwards.from(now_ - cold_window_));
+      warm_hosts[host.kind] += 1;
+    }
+    const double even = in * (cold_window_ / long_window) / std::max(ability, 1.0);
+    for (unsigned k = 0; k < kinds_; ++k) {
+      cold_part_[k] = warm_hosts[k] > 0 ? std::min(cold_part_[k] / warm_hosts[k], even) : 0.7 * even;
     }
-    const double even = all / static_cast<double>(std::max<std::size_t>(ready_, 1));
-    const double usual = warm_hosts > 0 ? std::min(sent / warm_hosts, 1.3 * even) : 0.7 * even;
-    return static_cast<double>(host.forwards.from(since)) < 1 + usual * able(host);
   }
 
   // The one place that says whether a forward is allowed.
@@ -967,6 +982,7 @@
   // What is out there.
   std::vector<Host> hosts_;
   std::vector<HostIndex> own_, other_;  // scratch for picking
+  std::vector<double> cold_part_, cold_scratch_;
   Span ask_wait_ = Span::ms(300);
   std::size_t ready_ = 0, ejected_ = 0;
   // The build on trial.
