A copy costs four further forwards; cold hosts explain that all are slow

A copy is work done twice and now costs four times a forward after a failure; harms where many hosts hang at once. Cold hosts count as lost ability, so a stage that swaps half the fleet no longer counts as slowness of the build.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -33,7 +33,8 @@
 constexpr double kLikely = 2, kSure = 3, kFewJudges = 5;
 // Ours: a slow build convicts itself only by lasting harm, far above the moderate mark.
 constexpr double kLastingSlow = 1.6, kLastingOutcomes = 40;
-constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.3;  // all hosts, against the time before the offer
+constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.3,
+                 kMostAble = 0.85;  // all hosts, against before the offer
 // Harm that lasts this long is severe; hosts lost from outside explain slowness for so long.
 constexpr Span kLasting = Span::s(3), kTroubleFades = Span::s(8);
 // Wrong answers reach us as a sample of reports: how many it takes, and the part of answers they stand for.
@@ -45,17 +46,17 @@
 // Steps of a hit.
 constexpr Span kBeat = Span::ms(20), kJudgeEvery = Span::ms(250), kFinish = Span::ms(26);
 constexpr double kFurtherPart = 0.2, kFurtherMost = 60;  // the budget of few routers in all
+constexpr double kCopyCost =
+    4;  // of that budget: unlike a forward after a failure, a copy is work done twice
 constexpr unsigned kMostLegs = 8;
-constexpr double kQuickWeight = 0.5, kAnew = 4;
+constexpr double kQuickWeight = 0.5, kAnew = 4, kFaultStep = 0.15;
 constexpr double kFreeLoad = 1;  // a host's own work in open hits: from there latency grows with load
 constexpr std::uint64_t kBeatToken = 1, kAskToken = 2;
 constexpr HostIndex kNobody = UINT32_MAX, kExcused = kNobody - 1;
-constexpr double kFaultStep = 0.15;
 constexpr std::size_t kSamples = 96;
 constexpr Span kSameTimes = Span::s(10);
-constexpr double kFade = 80;  // a host's outcomes in a path group after which older ones count half
-constexpr double kTallyFade = 160;
-constexpr Span kNewsFades = Span::s(2);  // what was learnt of a host's speed gives way to its zone's
+constexpr double kFade = 80, kTallyFade = 160;  // outcomes after which older ones count half
+constexpr Span kNewsFades = Span::s(2);         // what was learnt of a host's speed gives way to its zone's
 
 struct Forward {
   HostIndex host = 0;
@@ -147,7 +148,7 @@
         rolling_(t.rolling), longest_retry_after_(t.longest_retry_after), cold_window_(t.cold_window),
         warm_after_(t.warm_after), tick_(t.tick), window_(t.window), vote_life_(t.vote_life),
         vote_gap_(Span::s(2.0 * t.routers / std::max(t.votes_per_s, 1.0))), start_capacity_(t.start_capacity),
-        further_most_(std::max(kFurtherMost / t.routers, 3.0)), anew_part_(kAnew / t.routers),
+        further_most_(std::max(kFurtherMost / t.routers, 2 * kCopyCost)), anew_part_(kAnew / t.routers),
         crowd_(std::log(std::max(1.0, t.routers / (kFewJudges * std::max(t.back_needed, 1U))))),
         sure_(kSure + 2 * crowd_), cross_price_(t.cross_price), over_share_worth_(t.over_share_worth),
         first_cap_(t.caps.front()), spare_(t.spare), reported_share_(t.reported_share), rings_(t.rings),
@@ -347,9 +348,9 @@
     const double sick = good + kSickMore;
     host.suspicion += failed > 0 ? failed * std::log(sick / good) : std::log((1 - sick) / (1 - good));
     host.suspicion = std::clamp(host.suspicion, kTrust, kEject + 1);
-    if (host.suspicion < kEject || (alone && on_trial(host.build)))
-      return;                       // a lone trial host: the build is judged
-    host.suspicion = kEject - 2.5;  // one more failure after its rest ejects it again
+    if (host.suspicion < kEject) return;
+    if (alone && on_trial(host.build)) return;  // there the build is judged
+    host.suspicion = kEject - 2.5;              // one more failure after its rest ejects it again
     host.ejected = true;
     host.rest_until = now_ + host.rest * (0.8 + 0.4 * chance_.unit());
     host.rest = std::min(host.rest * 2, kLongestRest);
@@ -379,6 +380,7 @@
       sickness = sickness || (host.build < build_ && host.ejected && all.failed >= kModerateFails);
       if (host.build == build_ && all.all > 0) tried.emplace_back(-all.failed, h);
     }
+    const Harm worst = tried.size() == 1 && sickness ? Harm::kModerate : Harm::kSevere;
     std::sort(tried.begin(), tried.end());
     std::vector<bool> left_out(hosts_.size());
     const std::size_t spared = tried.size() < 2 ? 0 : phase_ == Phase::kReleased ? (tried.size() + 3) / 4 : 1;
@@ -399,8 +401,7 @@
       }
       if (e.all < kFewOutcomes) e = {kFade, kFade * std::max(e.rate(), past_fail_rate_)};
       if (t.all < (pooled ? kFewOutcomes : kFewOutcomes / 2)) continue;
-      harm = std::max(harm,
-                      tried.size() == 1 && sickness ? std::min(marks(t, e), Harm::kModerate) : marks(t, e));
+      harm = std::max(harm, std::min(marks(t, e), worst));
     }
     return trial.all < kFewOutcomes ? Harm::kQuiet : harm;
   }
@@ -410,8 +411,7 @@
     Harm harm = Harm::kQuiet;
     for (std::size_t g = 0; g < groups_.size(); ++g) {
       const Count &e = tally_[0][g], &t = tally_[1][g];
-      if (t.all < kFewOutcomes || e.all < kFewOutcomes) continue;
-      harm = std::max(harm, marks(t, e));
+      if (std::min(t.all, e.all) >= kFewOutcomes) harm = std::max(harm, marks(t, e));
     }
     return harm;
   }
@@ -456,8 +456,8 @@
       if (host.build <= build_) wrong[side(host) == Side::kTrial].merge(host.served);
     }
     const double part = wrong[1].rate() / reported_share_, base = wrong[0].rate() / reported_share_;
-    if (wrong[1].failed >= kFewReports && part > 2 * base + kWrongPart &&
-        surety(wrong[1], wrong[0]) >= sure_) {
+    const bool marked = wrong[1].failed >= kFewReports && part > 2 * base + kWrongPart;
+    if (marked && surety(wrong[1], wrong[0]) >= sure_) {
       log("wrong answers: trial %.3f earlier %.3f reports %.0f", part, base, wrong[1].failed);
       return Harm::kSevere;
     }
@@ -469,10 +469,9 @@
     // Covers any harm in step with the trial that comparing builds hides; does harm where a jam falls on a
     // trial. A released build has nothing beside it: there only twice as much counts.
     const bool beside = phase_ == Phase::kTrial;
-    const bool calm =
-        now_ - last_trouble_ > kTroubleFades && static_cast<double>(ready_ - ejected_) > 0.9 * calm_ready_;
-    const double all_slow =
-        calm && calm_unit_ms_ > 0 ? recent_unit_ms_ / calm_unit_ms_ / (beside ? 1 : 2) : 1;
+    const bool calm = now_ - last_trouble_ > kTroubleFades && ability_ > kMostAble * calm_ready_;
+    const double yardstick = calm_unit_ms_ * (beside ? 1 : 2);
+    const double all_slow = calm && yardstick > 0 ? recent_unit_ms_ / yardstick : 1;
     if (all_slow > kAllSlow || (beside && slow(kModerateSlow, kFewOutcomes, kLikely))) {
       // Departure: lasting harm far above its mark is severe: votes alone can end it.
       if (harm_from_ > Instant() && now_ - harm_from_ >= kLasting &&
@@ -489,9 +488,8 @@
   // ---- Share and votes ----
 
   void fresh_build(BuildId build) {
-    const bool released =
-        told_ && phase_ == Phase::kReleased;  // now the earlier build, its times the yardstick
-    if (released) samples_[0] = samples_[1], tally_[0] = tally_[1];
+    // A released one is now the earlier build, its times the yardstick.
+    if (told_ && phase_ == Phase::kReleased) samples_[0] = samples_[1], tally_[0] = tally_[1];
     std::fill(samples_[1].begin(), samples_[1].end(), Samples{});
     std::fill(tally_[1].begin(), tally_[1].end(), Count{});
     // What failed before the offer says nothing of a trial in which all fail: only the same time is compared.
@@ -745,10 +743,10 @@
   void second_chance(Hit& hit) {
     hit.due = hit.give_up_at;
     hit.at_due = &Choice::give_up;
-    if (further_ < 1 || hit.legs >= max_forwards_ || now_ >= hit.late_at) return;
+    if (further_ < kCopyCost || hit.legs >= max_forwards_ || now_ >= hit.late_at) return;
     const Pick to = choose(hit);
     if (!to || to.predicted_ms > (hit.late_at - now_).ms()) return;
-    further_ -= 1;
+    further_ -= kCopyCost;
     if (!may_copy_) return sink_.cancel(hit.id, hit.legs - 1);
     send(hit, to);
     hit.due = hit.give_up_at;
@@ -848,6 +846,7 @@
     }
     const Span long_window = std::max(window_, cold_window_);
     double in = 0, ability = 0;
+    ability_ = 0;
     for (GroupFigures& g : groups_) in += static_cast<double>(g.taken.from(now_ - long_window + tick_));
     std::fill(kind_.begin(), kind_.end(), Kind{});
     ejected_ = 0;
@@ -858,8 +857,8 @@
       // A host that takes hits and answers none: its silence counts as failures, one for each long wait.
       const Span silence = now_ - std::max(host.last_heard, host.open_since);
       const Span usual = Span::ms(unit_ms(host) * (kFreeLoad + host.open));
-      if (host.open > 0 && silence > std::max(Span::ms(800), usual * 4))
-        host.last_heard = now_, weigh(h, true);
+      const bool silent = host.open > 0 && silence > std::max(Span::ms(800), usual * 4);
+      if (silent) host.last_heard = now_, weigh(h, true);
       if (host.ejected && now_ >= host.rest_until && host.suspicion <= 0) {
         host.ejected = false;
         host.rest = kFirstRest;
@@ -868,6 +867,7 @@
       ability += able(host);
       ejected_ += host.ejected;
       if (host.ejected) continue;
+      ability_ += able(host);
       usual_fails_[static_cast<int>(side(host))].merge(host.by_group.back());
       if (!warm(host)) continue;
       kind_[host.kind].sent += static_cast<double>(host.forwards.from(now_ - cold_window_));
@@ -1005,7 +1005,7 @@
   Slab<Hit> hits_;
   IndexMap places_, pins_;
   double mean_ms_ = 0, usual_unit_ms_ = 0, recent_unit_ms_ = 0, calm_unit_ms_ = 0, calm_ready_ = 0,
-         best_worth_ = 0, mean_worth_ = 1, further_ = 0, at_fault_ = 0;
+         ability_ = 0, best_worth_ = 0, mean_worth_ = 1, further_ = 0, at_fault_ = 0;
   SlidingCount all_taken_;
 };
 
