Late answers teach the zone; all hosts slow needs enough earlier times; patience of many

Cause: a router that seldom hears a host learnt nothing from its late or lost answers, and a zone nothing was heard of grew ever quicker in its eyes, so the jammed zone drew the hits. Now they teach the zone, and an unheard zone is held no better than the best. All hosts slow: the yardstick from before the offer was still its starting guess where a router has few hits; 30 times are needed, and the mark grows faster with the judges. A prediction of one of many routers is of the zone, not of the host: up to twice the patience.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,9 +25,8 @@
 // The design's marks.
 constexpr double kFirstShare = 0.3, kShareStep = 0.2;
 constexpr Span kQuietStep = Span::s(1), kQuietForOn = Span::s(2), kPastNewestStart = Span::s(3);
-constexpr double kFewOutcomes = 20;
+constexpr double kModerateSlow = 1.25, kFewOutcomes = 20, kEnoughTimes = 30;
 constexpr double kModeratePoints = 0.02, kSeverePoints = 0.05, kModerateFails = 3, kSevereFails = 5;
-constexpr double kModerateSlow = 1.25;
 // Evidence, as a log-likelihood ratio, beyond the marks: what a few judges need; more judges for each vote
 // that it takes are more chances of a false alarm, and each asks for more.
 constexpr double kLikely = 2, kSure = 3, kFewJudges = 5;
@@ -54,9 +53,9 @@
 constexpr std::uint64_t kBeatToken = 1, kAskToken = 2;
 constexpr HostIndex kNobody = UINT32_MAX, kExcused = kNobody - 1;
 constexpr std::size_t kSamples = 96;
-constexpr Span kSameTimes = Span::s(10);
+// Times this old are still compared; news of a host's speed gives way to its zone's that soon.
+constexpr Span kSameTimes = Span::s(10), kNewsFades = Span::s(2);
 constexpr double kFade = 80, kTallyFade = 160;  // outcomes after which older ones count half
-constexpr Span kNewsFades = Span::s(2);         // what was learnt of a host's speed gives way to its zone's
 
 struct Forward {
   HostIndex host = 0;
@@ -284,15 +283,16 @@
     if (result != Result::kOk && result != Result::kCancelled && result != Result::kTimeout) return;
     const double ms = took.ms();
     if (result == Result::kOk) host.last_ok = now_;
-    // Called off early it says nothing of speed; and where the host answers nobody, it is the host that is
-    // sick.
-    if (result != Result::kOk && (ms < f.predicted_ms || host.last_ok <= f.sent)) return;
+    // Called off early, or at a host known to be sick, it says nothing of speed.
+    if (result != Result::kOk && (ms < f.predicted_ms || host.ejected)) return;
     const double unit = ms * able(host) * mean_ms_ / group.mean_ms / (kFreeLoad + f.load);
-    host.unit_ms = unit_ms(host);
-    host.unit_ms += newness(host.unit_at, 0.1) * (std::min(unit, host.unit_ms * 10) - host.unit_ms);
     Zone& zone = zones_[host.zone];
     zone.unit_ms += newness(zone.unit_at, 0.02) * (std::min(unit, zone.unit_ms * 10) - zone.unit_ms);
+    if (result != Result::kOk && host.last_ok <= f.sent) return;  // answers nobody: it is sick, not slow
+    host.unit_ms = unit_ms(host);
+    host.unit_ms += newness(host.unit_at, 0.1) * (std::min(unit, host.unit_ms * 10) - host.unit_ms);
     if (!warm(host)) return;
+    times_ += 1;
     recent_unit_ms_ += 0.03 * (std::min(unit, recent_unit_ms_ * 10) - recent_unit_ms_);
     usual_unit_ms_ += 0.01 * (std::min(unit, usual_unit_ms_ * 10) - usual_unit_ms_);
     group.mean_ms += 0.02 * (std::min(ms, group.mean_ms * 10) - group.mean_ms);
@@ -304,8 +304,7 @@
 
   // An error is of the host's and its build's own making, unlike a broken connection, or else of the hit's: a
   // hit that fails at a second host as well is to blame itself and convicts neither. Guards against hits that
-  // fail anywhere; a build that fails nearly all hits of a fleet that has no other build is told later for
-  // it.
+  // fail anywhere; a build that fails nearly all hits where no other build is left is told later for it.
   void blame_later(Hit& hit, const Forward& f) {
     if (hit.blamed == kNobody) {
       hit.blamed = f.host, hit.blamed_from = f.sent;
@@ -348,9 +347,8 @@
     const double sick = good + kSickMore;
     host.suspicion += failed > 0 ? failed * std::log(sick / good) : std::log((1 - sick) / (1 - good));
     host.suspicion = std::clamp(host.suspicion, kTrust, kEject + 1);
-    if (host.suspicion < kEject) return;
-    if (alone && on_trial(host.build)) return;  // there the build is judged
-    host.suspicion = kEject - 2.5;              // one more failure after its rest ejects it again
+    if (host.suspicion < kEject || (alone && on_trial(host.build))) return;  // alone: the build is judged
+    host.suspicion = kEject - 2.5;  // one more failure after its rest ejects it again
     host.ejected = true;
     host.rest_until = now_ + host.rest * (0.8 + 0.4 * chance_.unit());
     host.rest = std::min(host.rest * 2, kLongestRest);
@@ -475,7 +473,7 @@
     if (all_slow > kAllSlow || (beside && slow(kModerateSlow, kFewOutcomes, kLikely))) {
       // Departure: lasting harm far above its mark is severe: votes alone can end it.
       if (harm_from_ > Instant() && now_ - harm_from_ >= kLasting &&
-          (all_slow > std::pow(kAllSlowLasting, 1 + crowd_ / 2) ||
+          (all_slow > std::pow(kAllSlowLasting, 1 + 0.75 * crowd_) ||
            (beside && slow(kLastingSlow, kLastingOutcomes, sure_)))) {
         log("slow for %.1f s: all hosts %.2f x before the trial", (now_ - harm_from_).s(), all_slow);
         return Harm::kSevere;
@@ -494,7 +492,7 @@
     std::fill(tally_[1].begin(), tally_[1].end(), Count{});
     // What failed before the offer says nothing of a trial in which all fail: only the same time is compared.
     for (Host& host : hosts_) std::fill(host.by_group.begin(), host.by_group.end(), Count{});
-    calm_unit_ms_ = told_ ? usual_unit_ms_ : 0;
+    calm_unit_ms_ = told_ && times_ >= kEnoughTimes ? usual_unit_ms_ : 0;
     calm_ready_ = static_cast<double>(ready_);
     build_ = build;
     share_ = kFirstShare;
@@ -690,7 +688,7 @@
     }
     mean_worth_ += 0.01 * (worth * groups_[group].mean_ms - mean_worth_);
     hit.worth = worth * groups_[group].mean_ms / std::max(mean_worth_, 1e-9);
-    hit.patience = 0.25 + 0.5 * worth / best_worth_;
+    hit.patience = (0.25 + 0.5 * worth / best_worth_) * (2 - std::min(1.0, anew_part_));
     groups_[group].taken.add(now_);
     all_taken_.add(now_);
     further_ = std::min(further_ + kFurtherPart, further_most_);
@@ -841,8 +839,10 @@
 
   // At each beat: silent hosts, hosts that have rested, and what cold ones may get.
   void look_at_hosts() {
+    const auto quicker = [](const Zone& a, const Zone& b) { return a.unit_ms < b.unit_ms; };
+    const double best = std::min_element(zones_.begin(), zones_.end(), quicker)->unit_ms;
     for (Zone& zone : zones_) {  // were hits refused on old times, nothing new would be heard of a zone
-      if (now_ - zone.unit_at > Span::s(1)) zone.unit_ms *= 0.995;
+      if (now_ - zone.unit_at > Span::s(1)) zone.unit_ms = std::max(zone.unit_ms * 0.995, best);
     }
     const Span long_window = std::max(window_, cold_window_);
     double in = 0, ability = 0;
@@ -1005,7 +1005,7 @@
   Slab<Hit> hits_;
   IndexMap places_, pins_;
   double mean_ms_ = 0, usual_unit_ms_ = 0, recent_unit_ms_ = 0, calm_unit_ms_ = 0, calm_ready_ = 0,
-         ability_ = 0, best_worth_ = 0, mean_worth_ = 1, further_ = 0, at_fault_ = 0;
+         times_ = 0, ability_ = 0, best_worth_ = 0, mean_worth_ = 1, further_ = 0, at_fault_ = 0;
   SlidingCount all_taken_;
 };
 
