Late and lost answers count as times; lasting slowness needs 20 of them

Also covers builds that hang some hits; harms where trial hosts hang, of which the worst is left out.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,7 +31,7 @@
 // that it takes are more chances of a false alarm, and each asks for more.
 constexpr double kLikely = 2, kSure = 3, kFewJudges = 5;
 // Ours: a slow build convicts itself only by lasting harm, far above the moderate mark.
-constexpr double kLastingSlow = 1.6, kLastingOutcomes = 40;
+constexpr double kLastingSlow = 1.6;
 constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.3,
                  kMostAble = 0.85;  // all hosts, against before the offer
 // Harm that lasts this long is severe; hosts lost from outside explain slowness for so long.
@@ -288,6 +288,9 @@
     const double unit = ms * able(host) * mean_ms_ / group.mean_ms / (kFreeLoad + f.load);
     Zone& zone = zones_[host.zone];
     zone.unit_ms += newness(zone.unit_at, 0.02) * (std::min(unit, zone.unit_ms * 10) - zone.unit_ms);
+    if (warm(host) && host.build <= build_) {
+      samples(side(host), host.kind, hit.group).add({now_, static_cast<float>(ms), f.host});
+    }
     if (result != Result::kOk && host.last_ok <= f.sent) return;  // answers nobody: it is sick, not slow
     host.unit_ms = unit_ms(host);
     host.unit_ms += newness(host.unit_at, 0.1) * (std::min(unit, host.unit_ms * 10) - host.unit_ms);
@@ -297,9 +300,6 @@
     usual_unit_ms_ += 0.01 * (std::min(unit, usual_unit_ms_ * 10) - usual_unit_ms_);
     group.mean_ms += 0.02 * (std::min(ms, group.mean_ms * 10) - group.mean_ms);
     mean_ms_ += 0.02 * (std::min(ms, mean_ms_ * 10) - mean_ms_);
-    if (host.build <= build_) {
-      samples(side(host), host.kind, hit.group).add({now_, static_cast<float>(ms), f.host});
-    }
   }
 
   // An error is of the host's and its build's own making, unlike a broken connection, or else of the hit's: a
@@ -474,7 +474,7 @@
       // Departure: lasting harm far above its mark is severe: votes alone can end it.
       if (harm_from_ > Instant() && now_ - harm_from_ >= kLasting &&
           (all_slow > std::pow(kAllSlowLasting, 1 + 0.75 * crowd_) ||
-           (beside && slow(kLastingSlow, kLastingOutcomes, sure_)))) {
+           (beside && slow(kLastingSlow, kFewOutcomes, kSure)))) {
         log("slow for %.1f s: all hosts %.2f x before the trial", (now_ - harm_from_).s(), all_slow);
         return Harm::kSevere;
       }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -373,6 +373,26 @@
   EXPECT_FALSE(w.sink.logged("severe"));
 }
 
+TEST(Judging, ASlowBuildIsMetByOneOfManyRouters) {
+  Terms terms = usual_terms();
+  terms.routers = 60;
+  World w = on_trial(terms, 0.4, 12, 10);
+  w.serve = [](BuildId b, HostIndex) { return Outcome{Result::kOk, Span::ms(b == 2 ? 130 : 50)}; };
+  w.run(Span::s(20), 20);
+  EXPECT_TRUE(w.sink.voted(Vote::kBack));
+}
+
+TEST(Hosts, AnUnheardZoneIsHeldNoBetterThanTheBest) {
+  Terms terms = usual_terms();
+  terms.routers = 200;
+  World w(terms, 8);  // odd hosts are of the other zone: they take hits and answer none
+  w.serve = [](BuildId, HostIndex h) { return Outcome{Result::kOk, Span::ms(50), h % 2 == 1}; };
+  w.run(Span::s(20), 4);
+  std::size_t lost = 0;
+  for (const auto& s : w.sink.sent) lost += s.host % 2;
+  EXPECT_LT(lost, w.sink.sent.size() / 4);
+}
+
 TEST(Judging, ManyJudgesAskForMoreEvidenceEach) {
   for (const unsigned routers : {2U, 200U}) {
     Terms terms = usual_terms();
