Earlier outcomes fade: failures of all hits that begin during a trial convict no build

Earlier builds' counts now fade by 0.94 each quarter second, those of hosts that are out do not; it replaces forgetting them at the offer. Also covers any trouble that begins for all during a trial; harms where earlier hosts get few hits, then the last known part stands in.

--- a/src/base/count.hpp
+++ b/src/base/count.hpp
@@ -11,6 +11,7 @@
     if (all >= fade) all /= 2, failed /= 2;
     all += 1, failed += fail;
   }
+  void fade(double to) { all *= to, failed *= to; }
   void merge(const Count& other) { all += other.all, failed += other.failed; }
   double rate() const { return all > 0 ? failed / all : 0; }
 };
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,8 +32,8 @@
 constexpr double kLikely = 2, kSure = 3, kFewJudges = 5;
 // Ours: a slow build convicts itself only by lasting harm, far above the moderate mark.
 constexpr double kLastingSlow = 1.6;
-constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.3,
-                 kMostAble = 0.85;  // all hosts, against before the offer
+// All hosts against the time before the offer, while so much of that time's ability is there.
+constexpr double kAllSlow = 1.8, kAllSlowLasting = 2.3, kMostAble = 0.85;
 // Harm that lasts this long is severe; hosts lost from outside explain slowness for so long.
 constexpr Span kLasting = Span::s(3), kTroubleFades = Span::s(8);
 // Wrong answers reach us as a sample of reports: how many it takes, and the part of answers they stand for.
@@ -42,11 +42,9 @@
 constexpr double kGoodFails = 0.02, kSickMore = 0.4, kEject = 5, kTrust = -2;
 constexpr Span kFirstRest = Span::s(1), kLongestRest = Span::s(8);
 constexpr double kMostEjected = 0.4;  // beyond this part of the list the cause is not the hosts
-// Steps of a hit.
 constexpr Span kBeat = Span::ms(20), kJudgeEvery = Span::ms(250), kFinish = Span::ms(26);
 constexpr double kFurtherPart = 0.2, kFurtherMost = 60;  // the budget of few routers in all
-constexpr double kCopyCost =
-    4;  // of that budget: unlike a forward after a failure, a copy is work done twice
+constexpr double kCopyCost = 4;                          // of that budget: a copy is work done twice
 constexpr unsigned kMostLegs = 8;
 constexpr double kQuickWeight = 0.5, kAnew = 4, kFaultStep = 0.15;
 constexpr double kFreeLoad = 1;  // a host's own work in open hits: from there latency grows with load
@@ -55,7 +53,8 @@
 constexpr std::size_t kSamples = 96;
 // Times this old are still compared; news of a host's speed gives way to its zone's that soon.
 constexpr Span kSameTimes = Span::s(10), kNewsFades = Span::s(2);
-constexpr double kFade = 80, kTallyFade = 160;  // outcomes after which older ones count half
+// Outcomes after which older ones count half; what an earlier build's are worth at the next judging.
+constexpr double kFade = 80, kTallyFade = 160, kEarlierFades = 0.94;
 
 struct Forward {
   HostIndex host = 0;
@@ -368,12 +367,15 @@
   // convict a build: with two hosts or more the one that fails most is left out, after a release the quarter;
   // and while hosts of earlier builds are out for failing, a lone trial host that fails is one more of them:
   // its build is only held.
+  // Earlier outcomes fade: trouble for all that begins during a trial must not stand against a long good
+  // past.
   Harm failures(Count& trial, Count& earlier) {
     std::vector<std::pair<double, HostIndex>> tried;
     bool sickness = false;
     for (HostIndex h = 0; h < hosts_.size(); ++h) {
-      const Host& host = hosts_[h];
+      Host& host = hosts_[h];
       if (host.state == HostState::kGone) continue;
+      for (Count& c : host.by_group) c.fade(host.build < build_ && !host.ejected ? kEarlierFades : 1);
       const Count& all = host.by_group.back();
       sickness = sickness || (host.build < build_ && host.ejected && all.failed >= kModerateFails);
       if (host.build == build_ && all.all > 0) tried.emplace_back(-all.failed, h);
@@ -490,8 +492,6 @@
     if (told_ && phase_ == Phase::kReleased) samples_[0] = samples_[1], tally_[0] = tally_[1];
     std::fill(samples_[1].begin(), samples_[1].end(), Samples{});
     std::fill(tally_[1].begin(), tally_[1].end(), Count{});
-    // What failed before the offer says nothing of a trial in which all fail: only the same time is compared.
-    for (Host& host : hosts_) std::fill(host.by_group.begin(), host.by_group.end(), Count{});
     calm_unit_ms_ = told_ && times_ >= kEnoughTimes ? usual_unit_ms_ : 0;
     calm_ready_ = static_cast<double>(ready_);
     build_ = build;
