--- /dev/null
+++ b/src/program/environment.cpp
@@ -0,0 +1,99 @@
+#include "program/environment.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace ashbeam {
+
+namespace {
+
+std::string plain(const Json& value) {  // as the settings' text has it
+  std::string text = value.text().value_or(std::string(value.raw()));
+  std::replace_if(text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  return text;
+}
+
+void put(Pairs& pairs, const std::string& path, const Json& value) {
+  const std::string inside = path.empty() ? "" : path + ".";
+  if (value.is_object()) {
+    value.each_member([&](const std::string& name, const Json& v) { put(pairs, inside + name, v); });
+  } else if (value.is_list()) {
+    std::string joined;
+    std::size_t count = 0, objects = 0;
+    value.each_item([&](const Json& v) {
+      if (v.is_object()) ++objects, put(pairs, inside + std::to_string(count), v);
+      else joined += (count > 0 ? "," : "") + plain(v);
+      ++count;
+    });
+    if (objects > 0) pairs.put(inside + "count", std::to_string(count));
+    else pairs.put(path, joined);
+  } else {
+    pairs.put(path, plain(value));
+  }
+}
+
+std::uint64_t seed_of(const std::optional<Json>& given) {
+  const std::string text = given ? given->text().value_or(std::string(given->raw())) : "";
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc() || end != text.data() + text.size()) throw StartError("configuration: 'seed' is no seed");
+  return seed;
+}
+
+}  // namespace
+
+Pairs pairs_of(const Json& settings) {
+  Pairs pairs;
+  put(pairs, "", settings);
+  return pairs;
+}
+
+Start start_from(std::string_view configuration, Site site) {
+  const auto all = Json::parse(configuration);
+  if (!all || !all->is_object()) throw StartError("configuration: not a JSON object");
+  const auto settings = all->member("settings"), limits = all->member("limits"), desk = all->member("release_api");
+  if (!settings || !settings->is_object()) throw StartError("configuration: 'settings' is missing");
+  if (!desk || desk->text("address").empty()) throw StartError("configuration: 'release_api.address' is missing");
+  Start start;
+  site.seed = seed_of(all->member("seed"));
+  site.desk = desk->text("address");
+  if (const auto news = desk->member("news")) site.news = news->raw();
+  if (const auto known = all->member("known")) site.known = known->raw();
+  start.site = std::move(site);
+  start.settings = pairs_of(*settings);
+  if (limits) start.sockets = static_cast<std::size_t>(std::clamp(limits->number("sockets", 1024), 64.0, 1e6));
+  return start;
+}
+
+Start read_start(const char* (*variable)(const char*)) {
+  const auto need = [&](const char* name) {
+    const char* const value = variable(name);
+    if (!value || !*value) throw StartError(std::string(name) + " is not set");
+    return std::string(value);
+  };
+  Site site;
+  site.name = need("PROXY_NAME");
+  site.listen = need("PROXY_LISTEN");
+  site.discovery = need("PROXY_DISCOVERY");
+  const std::string path = need("PROXY_CONFIG");
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) throw StartError("PROXY_CONFIG: '" + path + "' can't be read");
+  return start_from(text.str(), std::move(site));
+}
+
+// Sockets: a few for ourselves, the rest in halves: each hit in hand holds one of both kinds.
+Limits limits_for(std::size_t sockets, const DoorTerms& door, const Terms& terms) {
+  constexpr std::size_t kOwn = 32;
+  Limits limits;
+  limits.clients = (sockets - kOwn) / 2;
+  limits.to_hosts = (sockets - kOwn) / 2;
+  limits.connect = door.connect;
+  limits.host_idle = std::min(limits.host_idle, door.host_idle * 0.8);
+  limits.desk_answer = terms.answer_wait;
+  return limits;
+}
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/program/main.cpp
@@ -0,0 +1,69 @@
+// One router: reads what the machine tells it, serves until it is told to stop.
+#include <Poco/ErrorHandler.h>
+#include <Poco/Exception.h>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+#include "program/environment.hpp"
+#include "program/log_sink.hpp"
+#include "routing/service.hpp"
+
+namespace {
+
+using namespace ashbeam;
+
+volatile std::sig_atomic_t stop_asked = 0;
+
+class Complaints : public Poco::ErrorHandler {  // no exception ends the loop
+ public:
+  void exception(const Poco::Exception& e) override { spdlog::error("exception: {}", e.displayText()); }
+  void exception(const std::exception& e) override { spdlog::error("exception: {}", e.what()); }
+  void exception() override { spdlog::error("exception of an unknown kind"); }
+};
+
+int serve() {
+  const Start start = read_start([](const char* name) -> const char* { return std::getenv(name); });
+  const Terms terms = read_terms(start.settings);
+  const DoorTerms door = read_door_terms(start.settings);
+  const Limits limits = limits_for(start.sockets, door, terms);
+
+  Loop loop;
+  Service service(loop, limits, terms, door, start.site, [](std::string_view line) { spdlog::info("{}", line); });
+  service.start();
+  spdlog::info("{} serves at {}: {} path groups, router {} of {}", start.site.name, start.site.listen,
+               terms.path_groups.size(), terms.me, terms.routers);
+
+  Timer signals(loop, [&] {
+    if (stop_asked != 0) {
+      spdlog::info("told to stop");
+      service.wind_down([&] { loop.stop(); });
+    }
+    signals.in(Span::ms(20));
+  });
+  signals.in(Span());
+  loop.run();
+  spdlog::info("stopped");
+  return 0;
+}
+
+}  // namespace
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  for (const int signal : {SIGTERM, SIGINT}) std::signal(signal, [](int) { stop_asked = 1; });
+  Complaints complaints;
+  Poco::ErrorHandler::set(&complaints);
+  spdlog::set_default_logger(std::make_shared<spdlog::logger>("ashbeam", std::make_shared<LogSink>()));
+  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  try {
+    return serve();
+  } catch (const Poco::Exception& e) {
+    std::fprintf(stderr, "ashbeam: %s\n", e.displayText().c_str());
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "ashbeam: %s\n", e.what());
+  }
+  return 1;
+}
--- /dev/null
+++ b/src/protocol/http.cpp
@@ -0,0 +1,333 @@
+#include "protocol/http.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace ashbeam::http {
+
+namespace {
+
+constexpr std::uint64_t kMostTrailer = 4096;
+
+char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
+
+bool token_char(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool token(std::string_view text) { return !text.empty() && std::all_of(text.begin(), text.end(), token_char); }
+
+int hex_digit(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  c = lower(c);
+  return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+}  // namespace
+
+bool same_name(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
+std::string_view trimmed(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+  return text;
+}
+
+std::optional<std::uint64_t> whole_number(std::string_view text) {
+  std::uint64_t n = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, n);
+  if (text.empty() || stop != end || error != std::errc()) return std::nullopt;
+  return n;
+}
+
+// ---- Head ----
+
+Head::Got Head::feed(std::string_view& bytes) {
+  std::size_t used = 0;
+  while (used < bytes.size()) {
+    const char c = bytes[used++];
+    if (raw_.size() >= most_) return Got::kTooLong;
+    const char before = raw_.empty() ? '\0' : raw_.back();
+    if ((c == '\n') != (before == '\r') || c == '\0') return Got::kBad;
+    raw_.push_back(c);
+    if (c != '\n') continue;
+    if (raw_.size() == 2) {  // an empty line before the first is passed over
+      raw_.clear();
+    } else if (raw_.size() >= 4 && raw_[raw_.size() - 3] == '\n') {
+      bytes.remove_prefix(used);
+      return split() ? Got::kWhole : Got::kBad;
+    }
+  }
+  bytes = {};
+  return Got::kMore;
+}
+
+void Head::clear() {
+  raw_.clear();
+  fields_.clear();
+  first_ = {};
+}
+
+bool Head::split() {
+  std::string_view rest = raw_;
+  const auto line = [&] {
+    const std::size_t end = rest.find("\r\n") + 2;
+    const std::string_view one = rest.substr(0, end);
+    rest.remove_prefix(end);
+    return one;
+  };
+  first_ = line();
+  std::string_view words = first_.substr(0, first_.size() - 2);
+  for (unsigned i = 0; i < 3; ++i) {
+    const std::size_t end = i < 2 ? std::min(words.find(' '), words.size()) : words.size();
+    words_[i] = words.substr(0, end);
+    words.remove_prefix(std::min(end + 1, words.size()));
+  }
+  while (rest.size() > 2) {
+    Field f;
+    f.line = line();
+    const std::size_t colon = f.line.find(':');
+    if (colon == std::string_view::npos) return false;
+    f.name = f.line.substr(0, colon);
+    if (!token(f.name)) return false;
+    f.value = trimmed(f.line.substr(colon + 1, f.line.size() - colon - 3));
+    fields_.push_back(f);
+  }
+  return true;
+}
+
+std::optional<std::string_view> Head::find(std::string_view name) const {
+  for (const Field& f : fields_) {
+    if (same_name(f.name, name)) return f.value;
+  }
+  return std::nullopt;
+}
+
+unsigned Head::count(std::string_view name) const {
+  return static_cast<unsigned>(
+      std::count_if(fields_.begin(), fields_.end(), [&](const Field& f) { return same_name(f.name, name); }));
+}
+
+bool Head::says(std::string_view name, std::string_view word) const {
+  for (const Field& f : fields_) {
+    if (!same_name(f.name, name)) continue;
+    for (std::string_view rest = f.value; !rest.empty();) {
+      const std::size_t comma = std::min(rest.find(','), rest.size());
+      if (same_name(trimmed(rest.substr(0, comma)), word)) return true;
+      rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+  }
+  return false;
+}
+
+// ---- Body ----
+
+void Body::begin(Kind kind, std::uint64_t left) {
+  kind_ = kind;
+  left_ = left;
+  at_ = At::kSize;
+  size_ = trailer_ = 0;
+  digits_ = 0;
+}
+
+Body::Got Body::feed(std::string_view& bytes, std::string& raw, std::string* plain) {
+  std::size_t used = bytes.size();
+  Got got = Got::kMore;
+  if (kind_ == Kind::kChunks) {
+    got = chunks(bytes, used, plain);
+  } else {
+    if (kind_ == Kind::kLength) {
+      if (left_ > most_) return Got::kTooLong;
+      used = static_cast<std::size_t>(std::min<std::uint64_t>(left_, used));
+      left_ -= used;
+      if (left_ == 0) got = Got::kWhole;
+    } else {
+      size_ += used;
+      if (size_ > most_) return Got::kTooLong;
+    }
+    if (plain) plain->append(bytes.substr(0, used));
+  }
+  raw.append(bytes.substr(0, used));
+  bytes.remove_prefix(used);
+  return got;
+}
+
+Body::Got Body::chunks(std::string_view bytes, std::size_t& used, std::string* plain) {
+  for (used = 0; used < bytes.size();) {
+    const char c = bytes[used];
+    if (at_ == At::kData) {
+      const auto n = static_cast<std::size_t>(std::min<std::uint64_t>(left_, bytes.size() - used));
+      if (plain) plain->append(bytes.substr(used, n));
+      used += n;
+      left_ -= n;
+      if (left_ == 0) at_ = At::kDataEnd1;
+      continue;
+    }
+    ++used;
+    switch (at_) {
+      case At::kSize:
+        if (const int digit = hex_digit(c); digit >= 0) {
+          if (++digits_ > 8) return Got::kTooLong;
+          left_ = left_ * 16 + static_cast<unsigned>(digit);
+        } else if (digits_ == 0) {
+          return Got::kBad;
+        } else if (c == '\r') {
+          at_ = At::kSizeEnd;
+        } else if (c == ';' || c == ' ' || c == '\t') {
+          at_ = At::kExtension;
+        } else {
+          return Got::kBad;
+        }
+        break;
+      case At::kExtension:
+        if (++trailer_ > kMostTrailer) return Got::kTooLong;
+        if (c == '\n') return Got::kBad;
+        if (c == '\r') at_ = At::kSizeEnd;
+        break;
+      case At::kSizeEnd:
+        if (c != '\n') return Got::kBad;
+        size_ += left_;
+        if (size_ > most_) return Got::kTooLong;
+        at_ = left_ > 0 ? At::kData : At::kTrailer;
+        digits_ = 0;
+        break;
+      case At::kDataEnd1:
+        if (c != '\r') return Got::kBad;
+        at_ = At::kDataEnd2;
+        break;
+      case At::kDataEnd2:
+        if (c != '\n') return Got::kBad;
+        at_ = At::kSize;
+        break;
+      case At::kTrailer:  // at a line's start
+        at_ = c == '\r' ? At::kLastEnd : At::kTrailerLine;
+        if (c == '\n') return Got::kBad;
+        break;
+      case At::kTrailerLine:
+        if (++trailer_ > kMostTrailer) return Got::kTooLong;
+        if (c == '\n') return Got::kBad;
+        if (c == '\r') at_ = At::kTrailerEnd;
+        break;
+      case At::kTrailerEnd:
+        if (c != '\n') return Got::kBad;
+        at_ = At::kTrailer;
+        break;
+      case At::kLastEnd:
+        return c == '\n' ? Got::kWhole : Got::kBad;
+      case At::kData:
+        break;
+    }
+  }
+  return Got::kMore;
+}
+
+// ---- Messages ----
+
+Messages::Got Messages::bad(unsigned fault) {
+  fault_ = fault;
+  return Got::kBad;
+}
+
+Messages::Got Messages::feed(std::string_view& bytes) {
+  if (fault_ != 0) return Got::kBad;
+  while (!whole_) {
+    if (!in_body_) {
+      switch (head_.feed(bytes)) {
+        case Head::Got::kMore:
+          return Got::kMore;
+        case Head::Got::kTooLong:
+          return bad(431);
+        case Head::Got::kBad:
+          return bad(400);
+        case Head::Got::kWhole:
+          break;
+      }
+      if (const unsigned fault = plan_body(); fault != 0) return bad(fault);
+      if (status_ >= 100 && status_ < 200) {  // interim: the answer itself follows
+        next();
+        continue;
+      }
+      in_body_ = true;
+    }
+    switch (body_.feed(bytes, raw_body_)) {
+      case Body::Got::kMore:
+        return Got::kMore;
+      case Body::Got::kTooLong:
+        return bad(413);
+      case Body::Got::kBad:
+        return bad(400);
+      case Body::Got::kWhole:
+        whole_ = true;
+    }
+  }
+  return Got::kWhole;
+}
+
+// Where the message's end could be read in two ways, it is refused: what a host would make of it is not known.
+unsigned Messages::plan_body() {
+  if (side_ == Side::kRequests) {
+    if (!token(head_.word(0)) || head_.word(1).empty() || head_.word(1)[0] != '/') return 400;
+    if (head_.word(1).find_first_of("\t\x7f") != std::string_view::npos) return 400;
+    if (head_.word(2) != "HTTP/1.1") return head_.word(2).starts_with("HTTP/") ? 505 : 400;
+  } else {
+    const auto status = whole_number(head_.word(1));
+    if (!head_.word(0).starts_with("HTTP/1.") || !status || head_.word(1).size() != 3) return 400;
+    status_ = static_cast<unsigned>(*status);
+  }
+  const auto length = head_.find("Content-Length"), coding = head_.find("Transfer-Encoding");
+  if (head_.count("Content-Length") + head_.count("Transfer-Encoding") > 1) return 400;
+  if (coding) {
+    if (!same_name(*coding, "chunked")) return side_ == Side::kRequests ? 501 : 400;
+    body_.by_chunks();
+  } else if (length) {
+    const auto n = whole_number(*length);
+    if (!n) return 400;
+    body_.by_length(*n);
+  } else if (side_ == Side::kRequests || status_ < 200 || status_ == 204 || status_ == 304) {
+    body_.none();
+  } else {
+    body_.until_end();
+  }
+  return 0;
+}
+
+Messages::Got Messages::stream_ended() {
+  if (fault_ == 0 && in_body_ && body_.ends_with_stream()) whole_ = true;
+  return whole_ ? Got::kWhole : Got::kBad;
+}
+
+void Messages::next() {
+  head_.clear();
+  raw_body_.clear();
+  in_body_ = whole_ = false;
+  fault_ = status_ = 0;
+}
+
+bool Messages::last() const {
+  return body_.ends_with_stream() || head_.says("Connection", "close") ||
+         (side_ == Side::kAnswers && head_.word(0) == "HTTP/1.0" && !head_.says("Connection", "keep-alive"));
+}
+
+std::string_view reason(unsigned status) {
+  switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 413: return "Content Too Large";
+    case 429: return "Too Many Requests";
+    case 431: return "Request Header Fields Too Large";
+    case 500: return "Internal Server Error";
+    case 501: return "Not Implemented";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    case 505: return "HTTP Version Not Supported";
+    default: return "Status";
+  }
+}
+
+}  // namespace ashbeam::http
--- /dev/null
+++ b/src/routing/callers.cpp
@@ -0,0 +1,143 @@
+#include "routing/callers.hpp"
+
+#include <algorithm>
+
+namespace ashbeam {
+
+namespace {
+
+constexpr Span kLinger = Span::s(1);  // for a client that still sends what was refused
+
+}  // namespace
+
+Caller::Caller(Callers& callers, int accepted, std::size_t place)
+    : callers_(callers), place_(place), since_(callers.loop_.now()),
+      connection_(callers.loop_, callers.limits_, *this, accepted),
+      requests_(http::Messages::Side::kRequests, callers.limits_.head, callers.limits_.body),
+      timer_(callers.loop_, [this] { late(); }) {}
+
+void Caller::bytes_came() {
+  if (at_ == At::kLingering) return connection_.take(connection_.unread().size());
+  if (at_ != At::kReading) return;  // the next request waits for its turn
+  std::string_view bytes = connection_.unread();
+  if (bytes.empty()) return;
+  const std::size_t had = bytes.size();
+  const auto got = requests_.feed(bytes);
+  connection_.take(had - bytes.size());
+  if (got == http::Messages::Got::kMore) {
+    if (!timer_.armed() && requests_.begun()) timer_.in(callers_.limits_.request_read);
+    return;
+  }
+  timer_.off();
+  at_ = At::kAnswering;
+  if (got == http::Messages::Got::kWhole) {
+    last_ = last_ || requests_.last();
+    return callers_.came_(*this, requests_);
+  }
+  last_ = true;
+  const unsigned fault = requests_.fault();
+  answer_plain(fault);
+}
+
+void Caller::answer_plain(unsigned status, std::string_view fields) {
+  const std::string words = std::string(http::reason(status)) + "\n";
+  std::string all(fields);
+  all += "Content-Type: text/plain\r\nContent-Length: " + std::to_string(words.size()) + "\r\n";
+  answer(status, all, words);
+}
+
+void Caller::answer(unsigned status, std::string_view fields, std::string_view body) {
+  if (at_ != At::kAnswering) return;
+  at_ = At::kWriting;
+  last_ = last_ || callers_.winding_down_;
+  std::string bytes = "HTTP/1.1 " + std::to_string(status) + " ";
+  bytes.append(http::reason(status)).append("\r\n").append(fields);
+  if (last_) bytes += "Connection: close\r\n";
+  bytes.append("\r\n").append(body);
+  timer_.in(callers_.limits_.answer_written);
+  connection_.write(bytes);
+  if (!connection_.unwritten()) written();
+}
+
+void Caller::all_written() {
+  if (at_ == At::kWriting) written();
+}
+
+void Caller::written() {
+  timer_.off();
+  since_ = callers_.loop_.now();
+  if (last_) {
+    // Closing with bytes unread would reset the connection, and the answer with it.
+    at_ = At::kLingering;
+    connection_.finish_writing();
+    timer_.in(kLinger);
+    return connection_.take(connection_.unread().size());
+  }
+  at_ = At::kReading;
+  const bool more = !connection_.unread().empty();
+  requests_.next();
+  if (more) timer_.at(since_);  // what came early is read after the call at hand
+}
+
+void Caller::ended() {
+  if (at_ == At::kAnswering) callers_.left_(*this);
+  callers_.remove(this);
+}
+
+void Caller::late() {
+  if (at_ == At::kReading && !connection_.unread().empty() && !requests_.begun()) return bytes_came();
+  if (at_ == At::kAnswering) return callers_.overdue_(*this);
+  callers_.remove(this);
+}
+
+Callers::Callers(Loop& loop, const Limits& limits, const std::string& address, Came came, Left left,
+                 Left overdue)
+    : loop_(loop), limits_(limits), came_(std::move(came)), left_(std::move(left)),
+      overdue_(std::move(overdue)),
+      listener_(loop, address, limits.backlog, [this](int fd) { accepted(fd); }) {}
+
+void Callers::accepted(int fd) {
+  callers_.push_back(std::make_unique<Caller>(*this, fd, callers_.size()));
+  if (callers_.size() >= limits_.clients && !close_idlest()) listener_.pause(true);
+}
+
+bool Callers::close_idlest() {
+  Caller* idlest = nullptr;
+  for (const auto& c : callers_) {
+    if (c->at_ != Caller::At::kReading || c->requests_.begun() || !c->connection_.quiet()) continue;
+    if (!idlest || c->since_ < idlest->since_) idlest = c.get();
+  }
+  if (idlest) remove(idlest);
+  return idlest != nullptr;
+}
+
+void Callers::remove(Caller* caller) {
+  caller->timer_.off();
+  caller->connection_.close();
+  const std::size_t place = caller->place_;
+  std::swap(callers_[place], callers_.back());
+  callers_[place]->place_ = place;
+  loop_.destroy_later(std::move(callers_.back()));
+  callers_.pop_back();
+  listener_.pause(false);
+}
+
+void Callers::wind_down() {
+  winding_down_ = true;
+  while (close_idlest()) {
+  }
+}
+
+void Callers::close_door() {
+  listener_.accept_waiting();
+  listener_.close();
+}
+
+bool Callers::all_idle() const {
+  return std::all_of(callers_.begin(), callers_.end(), [](const auto& c) {
+    return c->at_ == Caller::At::kLingering ||
+           (c->at_ == Caller::At::kReading && !c->requests_.begun() && c->connection_.unread().empty());
+  });
+}
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/routing/callers.hpp
@@ -0,0 +1,76 @@
+// The clients' side: accepts connections, reads one request after another from each and writes one answer
+// to each. What a request means is its owner's business.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/limits.hpp"
+#include "base/slab.hpp"
+#include "protocol/http.hpp"
+#include "transport/connection.hpp"
+#include "transport/listener.hpp"
+#include "transport/loop.hpp"
+
+namespace ashbeam {
+
+class Callers;
+
+// One client's connection.
+class Caller : private Connection::Owner {
+ public:
+  Caller(Callers& callers, int accepted, std::size_t place);
+  // The answer to the request at hand. `fields` are whole header lines and say how `body` is framed.
+  void answer(unsigned status, std::string_view fields, std::string_view body);
+  void answer_plain(unsigned status, std::string_view fields = {});  // with the status' words as its body
+  // `overdue` is told if the request at hand has no answer by then.
+  void answer_by(Instant when) { timer_.at(when); }
+  std::uint32_t hit = UINT32_MAX;  // the owner's mark on the request at hand
+
+ private:
+  friend class Callers;
+  enum class At { kReading, kAnswering, kWriting, kLingering };
+  void bytes_came() override;
+  void all_written() override;
+  void ended() override;
+  void written();
+  void late();
+  Callers& callers_;
+  std::size_t place_;
+  At at_ = At::kReading;
+  bool last_ = false;  // the connection ends after this answer
+  Instant since_;
+  Connection connection_;
+  http::Messages requests_;
+  Timer timer_;
+};
+
+class Callers {
+ public:
+  // A whole request: answer it on the caller now or later. A caller that has gone must not be answered.
+  using Came = std::function<void(Caller&, const http::Messages&)>;
+  using Left = std::function<void(Caller&)>;
+  Callers(Loop& loop, const Limits& limits, const std::string& address, Came came, Left left, Left overdue);
+  std::uint16_t port() const { return listener_.port(); }
+  std::size_t connections() const { return callers_.size(); }
+  // From now on each answer is the last of its connection, and connections between requests are closed.
+  void wind_down();
+  void close_door();  // after all that the machine has accepted is taken
+  bool all_idle() const;  // nothing is read in part, waits for its answer or is being written
+
+ private:
+  friend class Caller;
+  void accepted(int fd);
+  void remove(Caller* caller);
+  bool close_idlest();
+  Loop& loop_;
+  const Limits& limits_;
+  Came came_;
+  Left left_, overdue_;
+  bool winding_down_ = false;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  Listener listener_;
+};
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/routing/desk.cpp
@@ -0,0 +1,138 @@
+#include "routing/desk.hpp"
+
+#include <algorithm>
+
+namespace ashbeam {
+
+namespace {
+
+const char* word(Vote vote) {
+  switch (vote) {
+    case Vote::kOn:
+      return "promote";
+    case Vote::kHold:
+      return "pause";
+    case Vote::kBack:
+      return "abort";
+    case Vote::kNone:
+      break;
+  }
+  return "abstain";
+}
+
+Answer answer_of(const std::string& error) {
+  if (error == "Throttling") return Answer::kFull;
+  if (error == "ConditionFailed") return Answer::kVoid;
+  return Answer::kFailed;
+}
+
+}  // namespace
+
+Desk::Desk(Loop& loop, const Limits& limits, std::string address, std::uint64_t seed, News news,
+           Answered answered, Note note)
+    : loop_(loop), limits_(limits), address_(std::move(address)), chance_(seed), news_(std::move(news)),
+      answered_(std::move(answered)), note_(std::move(note)), lines_(limits.desk_line),
+      wait_(limits.retry_first), silence_(loop, [this] { lost("silent"); }), again_(loop, [this] { open(); }),
+      answers_(loop, [this] { check(); }) {}
+
+void Desk::open() {
+  lines_.clear();
+  opened_ = false;
+  connection_ = std::make_unique<Connection>(loop_, limits_, *this, address_);
+  call("subscribe", "", false);
+  silence_.in(limits_.desk_connect);
+}
+
+void Desk::opened() {
+  opened_ = true;
+  silence_.in(limits_.desk_silence);
+}
+
+void Desk::call(const char* method, const std::string& params, bool vote) {
+  calls_.push_back({next_id_, vote, loop_.now() + limits_.desk_answer});
+  connection_->write(rpc_call(next_id_++, method, params));
+  if (vote && !answers_.armed()) answers_.at(calls_.back().until);
+}
+
+void Desk::vote(BuildId build, unsigned stage, Vote vote) {
+  if (!connection_) return loop_.later([this] { answered_(Answer::kFailed, nullptr); });
+  call("release.vote",
+       "{\"image\":" + std::to_string(build) + ",\"ring\":" + std::to_string(stage) + ",\"opinion\":\"" +
+           word(vote) + "\"}",
+       true);
+}
+
+// A vote that has waited too long may have been taken, or may yet be: its answer is not waited for any more.
+void Desk::check() {
+  Instant next = Instant::never();
+  for (Call& c : calls_) {
+    if (!c.vote) continue;
+    if (c.until > loop_.now()) {
+      next = std::min(next, c.until);
+      continue;
+    }
+    c.vote = false;
+    answered_(Answer::kUnknown, nullptr);
+  }
+  if (next < Instant::never()) answers_.at(next);
+}
+
+void Desk::bytes_came() {
+  const std::string bytes(connection_->unread());
+  connection_->take(bytes.size());
+  silence_.in(limits_.desk_silence);
+  bool good = true;
+  good = lines_.feed(bytes, [&](std::string_view text) { good = good && (text.empty() || line(text)); }) && good;
+  if (!good) lost("sends what can't be read");
+}
+
+bool Desk::line(std::string_view text) {
+  const auto whole = Json::parse(text);
+  if (!whole || !whole->is_object()) return false;
+  wait_ = limits_.retry_first;
+  const std::string method = whole->text("method");
+  if (method.empty()) {
+    if (!whole->member("id")) return false;
+    answer(*whole);
+  } else if (method != "ping") {
+    if (const auto params = whole->member("params")) news_(method, *params);
+  }
+  return true;
+}
+
+// Answers come in the calls' order: one that names a later call leaves those before it without any.
+void Desk::answer(const Json& whole) {
+  const double id = whole.number("id", 0);
+  while (!calls_.empty() && static_cast<double>(calls_.front().id) <= id) {
+    const Call at_hand = calls_.front();
+    calls_.pop_front();
+    if (!at_hand.vote) continue;
+    const auto result = whole.member("result"), error = whole.member("error");
+    if (static_cast<double>(at_hand.id) < id || (!result && !error)) {
+      answered_(Answer::kUnknown, nullptr);
+    } else if (error) {
+      answered_(answer_of(error->text("message")), nullptr);
+    } else {
+      answered_(Answer::kTaken, &*result);
+    }
+  }
+}
+
+void Desk::lost(const char* why) {
+  note_(why);
+  silence_.off();
+  answers_.off();
+  // What was never written was not carried out; of the rest that is not known.
+  const Answer fate = opened_ ? Answer::kUnknown : Answer::kFailed;
+  connection_->close();
+  loop_.destroy_later(std::move(connection_));
+  const std::deque<Call> calls = std::move(calls_);
+  calls_.clear();
+  for (const Call& c : calls) {
+    if (c.vote) answered_(fate, nullptr);
+  }
+  again_.in(wait_ * (0.5 + chance_.unit()));
+  wait_ = std::min(wait_ * 2, limits_.retry_longest);
+}
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/routing/desk.hpp
@@ -0,0 +1,59 @@
+// The release desk: one subscribed connection that brings news and takes our votes, opened anew when it
+// breaks or falls silent. A vote is written once; what became of it is told once.
+#pragma once
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/limits.hpp"
+#include "base/pcg.hpp"
+#include "choice.hpp"
+#include "protocol/lines.hpp"
+#include "transport/connection.hpp"
+#include "transport/loop.hpp"
+
+namespace ashbeam {
+
+class Desk : public Connection::Owner {
+ public:
+  using News = std::function<void(const std::string& method, const Json& params)>;
+  using Answered = std::function<void(Answer, const Json* state)>;  // the state comes with kTaken
+  using Note = std::function<void(const char* what)>;
+  Desk(Loop& loop, const Limits& limits, std::string address, std::uint64_t seed, News news, Answered answered,
+       Note note);
+  void start() { open(); }
+  void vote(BuildId build, unsigned stage, Vote vote);  // `answered` comes after this returns
+
+ private:
+  struct Call {
+    std::uint64_t id = 0;
+    bool vote = false;  // false too once its answer is given up
+    Instant until;
+  };
+  void opened() override;
+  void bytes_came() override;
+  void ended() override { lost("ended"); }
+  void open();
+  void lost(const char* why);
+  void call(const char* method, const std::string& params, bool vote);
+  bool line(std::string_view text);
+  void answer(const Json& whole);
+  void check();
+  Loop& loop_;
+  const Limits& limits_;
+  std::string address_;
+  Pcg chance_;
+  News news_;
+  Answered answered_;
+  Note note_;
+  std::unique_ptr<Connection> connection_;
+  Lines lines_;
+  std::deque<Call> calls_;  // written, not answered
+  std::uint64_t next_id_ = 1;
+  bool opened_ = false;
+  Span wait_;
+  Timer silence_, again_, answers_;
+};
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/routing/discovery.hpp
@@ -0,0 +1,45 @@
+// The watch on discovery's list: one connection that stays open and brings a line for each change.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/limits.hpp"
+#include "protocol/http.hpp"
+#include "protocol/lines.hpp"
+#include "transport/connection.hpp"
+#include "transport/loop.hpp"
+
+namespace ashbeam {
+
+class Discovery : public Connection::Owner {
+ public:
+  using Told = std::function<void(bool whole, const Json& entries)>;
+  using Failed = std::function<void(const char* why)>;
+  Discovery(Loop& loop, const Limits& limits, std::string address, Told told, Failed failed);
+  // A list in discovery's form, from the watch or from elsewhere; false where it is none.
+  bool take(std::string_view line);
+  void follow();  // begins a watch, in place of the one that stands; `failed` says once that it ended
+
+ private:
+  void opened() override {}
+  void bytes_came() override;
+  void ended() override { fail("ended"); }
+  void fail(const char* why);
+  Loop& loop_;
+  const Limits& limits_;
+  std::string address_;
+  Told told_;
+  Failed failed_;
+  std::uint64_t version_ = 0;
+  bool any_ = false;  // a list was told
+  std::unique_ptr<Connection> connection_;
+  http::Head head_;
+  http::Body body_;
+  bool in_body_ = false;
+  std::string raw_, plain_;
+  Lines lines_;
+  Timer silence_;
+};
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/routing/host_pools.cpp
@@ -0,0 +1,175 @@
+#include "routing/host_pools.hpp"
+
+#include <algorithm>
+
+#include "transport/connection.hpp"
+
+namespace ashbeam {
+
+class HostPools::Link : public Connection::Owner {
+ public:
+  Link(HostPools& pools, HostIndex host, std::size_t place)
+      : pools_(pools), host_(host), place_(place),
+        connection_(pools.loop_, pools.limits_, *this, pools.hosts_[host].address),
+        answers_(http::Messages::Side::kAnswers, pools.limits_.head, pools.limits_.body),
+        timer_(pools.loop_, [this] { late(); }) {}
+
+  HostIndex host() const { return host_; }
+  bool waiting() const { return next_ != nullptr; }
+  bool written() const { return !connection_.unwritten(); }
+  bool usable() const { return connection_.quiet(); }
+  Instant idle_since() const { return idle_since_; }
+  void let_go() { keep_ = false; }
+  void shut() { timer_.off(), connection_.close(); }  // no callback comes after this
+  std::size_t place() const { return place_; }
+  void place(std::size_t at) { place_ = at; }
+
+  void send(const std::string& bytes, Instant until, Next next) {
+    next_ = std::move(next);
+    until_ = until;
+    answers_.next();
+    connection_.write(bytes);
+    timer_.at(connection_.opening() ? std::min(until, pools_.loop_.now() + pools_.connect_) : until);
+  }
+
+  // The forward's end, told at once or, from within a call of the owner's, after it.
+  void finish(Result result, bool at_once) {
+    Next next = std::move(next_);
+    next_ = nullptr;
+    pools_.remove(this);
+    if (at_once) return next(result, nullptr);
+    pools_.loop_.later([next = std::move(next), result] { next(result, nullptr); });
+  }
+
+  // What is not written whole has not run.
+  Result unless_unwritten(Result result) const { return written() ? result : Result::kNoConnect; }
+
+  void opened() override {
+    if (waiting()) timer_.at(until_);
+  }
+
+  void bytes_came() override {
+    std::string_view bytes = connection_.unread();
+    const std::size_t had = bytes.size();
+    const auto got = waiting() ? answers_.feed(bytes) : http::Messages::Got::kBad;
+    connection_.take(had - bytes.size());
+    if (got == http::Messages::Got::kMore) return;
+    if (!waiting()) return pools_.remove(this);  // nothing was asked
+    if (got == http::Messages::Got::kBad) return finish(unless_unwritten(Result::kReset), true);
+    answered(bytes.empty() && !answers_.last());
+  }
+
+  void ended() override {
+    if (!waiting()) return pools_.remove(this);
+    if (answers_.stream_ended() == http::Messages::Got::kWhole) return answered(false);
+    finish(unless_unwritten(Result::kReset), true);
+  }
+
+ private:
+  void answered(bool keep) {
+    const unsigned status = answers_.status();
+    Result result = status == 200 ? Result::kOk : Result::kError;
+    if (status == 503 || status == 504) {
+      if (answers_.head().find("X-Unprocessed") == "1") result = Result::kFull;
+    }
+    const Next next = std::move(next_);
+    next_ = nullptr;
+    keep = keep && written();
+    idle_since_ = pools_.loop_.now();
+    if (keep) timer_.at(idle_since_ + pools_.limits_.host_idle);
+    else timer_.off();
+    next(result, &answers_);
+    if (keep && keep_) pools_.hosts_[host_].idle.push_back(this);
+    else pools_.remove(this);
+  }
+
+  void late() {
+    if (!waiting()) return pools_.remove(this);
+    finish(unless_unwritten(Result::kTimeout), true);
+  }
+
+  HostPools& pools_;
+  HostIndex host_;
+  std::size_t place_;
+  Connection connection_;
+  http::Messages answers_;
+  Timer timer_;
+  Next next_;
+  Instant until_, idle_since_;
+  bool keep_ = true;
+};
+
+HostPools::HostPools(Loop& loop, const Limits& limits, Span connect)
+    : loop_(loop), limits_(limits), connect_(connect) {}
+
+HostPools::~HostPools() = default;
+
+void HostPools::place(HostIndex h, const std::string& address, bool fresh, bool takes_more) {
+  if (h >= hosts_.size()) hosts_.resize(h + 1);
+  hosts_[h].address = address;
+  if (!fresh && takes_more) return;
+  const std::vector<Link*> idle = hosts_[h].idle;
+  for (Link* link : idle) remove(link);
+  std::vector<Link*> stale;
+  for (const auto& link : links_) {
+    if (link->host() == h) stale.push_back(link.get());
+  }
+  for (Link* link : stale) {
+    link->let_go();
+    if (link->waiting() && !link->written()) link->finish(Result::kNoConnect, false);
+  }
+}
+
+HostPools::Link* HostPools::idle_link(HostIndex h) {
+  while (!hosts_[h].idle.empty()) {
+    Link* const link = hosts_[h].idle.back();
+    if (link->usable()) {
+      hosts_[h].idle.pop_back();
+      return link;
+    }
+    remove(link);  // the host has closed it, or will
+  }
+  return nullptr;
+}
+
+// At the limit the connection that has been idle longest makes room.
+bool HostPools::make_room() {
+  if (links_.size() < limits_.to_hosts) return true;
+  Link* oldest = nullptr;
+  for (const Host& host : hosts_) {
+    if (host.idle.empty()) continue;
+    if (!oldest || host.idle.front()->idle_since() < oldest->idle_since()) oldest = host.idle.front();
+  }
+  if (!oldest) return false;
+  remove(oldest);
+  return true;
+}
+
+HostPools::Link* HostPools::send(HostIndex h, const std::string& bytes, Instant until, Next next) {
+  Link* link = h < hosts_.size() ? idle_link(h) : nullptr;
+  if (!link && h < hosts_.size() && make_room()) {
+    links_.push_back(std::make_unique<Link>(*this, h, links_.size()));
+    link = links_.back().get();
+  }
+  if (!link) {
+    loop_.later([next = std::move(next)] { next(Result::kNoConnect, nullptr); });
+    return nullptr;
+  }
+  link->send(bytes, until, std::move(next));
+  return link;
+}
+
+void HostPools::cancel(Link* link) { link->finish(link->unless_unwritten(Result::kCancelled), false); }
+
+void HostPools::remove(Link* link) {
+  auto& idle = hosts_[link->host()].idle;
+  idle.erase(std::remove(idle.begin(), idle.end(), link), idle.end());
+  link->shut();
+  const std::size_t place = link->place();
+  std::swap(links_[place], links_.back());
+  links_[place]->place(place);
+  loop_.destroy_later(std::move(links_.back()));
+  links_.pop_back();
+}
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/routing/host_pools.hpp
@@ -0,0 +1,51 @@
+// Kept connections to hosts. A forward goes out on one of them and comes to exactly one end; nothing here
+// sends it again.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/limits.hpp"
+#include "choice.hpp"
+#include "protocol/http.hpp"
+#include "transport/loop.hpp"
+
+namespace ashbeam {
+
+class HostPools {
+ public:
+  class Link;  // one connection
+  // What comes next for a forward. The answer stands during the call only; there is none where none came.
+  using Next = std::function<void(Result, const http::Messages*)>;
+
+  // `connect` bounds how long a forward waits to be written.
+  HostPools(Loop& loop, const Limits& limits, Span connect);
+  ~HostPools();
+  HostPools(const HostPools&) = delete;
+  HostPools& operator=(const HostPools&) = delete;
+
+  // What the list says of a host. `fresh`: another process than the one that kept connections lead to. One
+  // that takes no more gets nothing that is not written yet.
+  void place(HostIndex host, const std::string& address, bool fresh, bool takes_more);
+  // Never calls `next` before it returns. The link, for `cancel`, stands until then; it may be null.
+  Link* send(HostIndex host, const std::string& bytes, Instant until, Next next);
+  void cancel(Link* link);  // `next` is told after this returns
+  std::size_t connections() const { return links_.size(); }
+
+ private:
+  struct Host {
+    std::string address;
+    std::vector<Link*> idle;  // the last used one last: it is taken first, the others may grow old
+  };
+  Link* idle_link(HostIndex host);
+  bool make_room();
+  void remove(Link* link);
+  Loop& loop_;
+  const Limits& limits_;
+  Span connect_;
+  std::vector<Host> hosts_;
+  std::vector<std::unique_ptr<Link>> links_;
+};
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/routing/service.cpp
@@ -0,0 +1,368 @@
+#include "routing/service.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+namespace ashbeam {
+
+namespace {
+
+constexpr Span kOverdue = Span::ms(20);  // past the client timeout: by then the module has long answered
+
+// The place of a name, or one past the last.
+unsigned index_of(const std::vector<std::string>& names, std::string_view name) {
+  return static_cast<unsigned>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+// Names in the settings' lists stand with these characters replaced.
+std::string listed_name(std::string name) {
+  std::replace_if(name.begin(), name.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  return name;
+}
+
+// Header lines that concern one connection only, or are written anew.
+bool goes_on(const http::Head& head, std::string_view name) {
+  for (const char* own : {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Upgrade", "Expect",
+                          "X-Time-Left-Ms", "X-Backend-Load", "X-Unprocessed"}) {
+    if (http::same_name(name, own)) return false;
+  }
+  return !head.says("Connection", name);
+}
+
+std::string kept_lines(const http::Head& head) {
+  std::string lines;
+  for (const http::Field& f : head.fields()) {
+    if (goes_on(head, f.name)) lines += f.line;
+  }
+  return lines;
+}
+
+// Calls back with each name=value of a comma-separated list whose value is a number.
+template <class What>
+void each_figure(std::string_view list, What&& what) {
+  while (!list.empty()) {
+    const std::size_t comma = std::min(list.find(','), list.size());
+    const std::string_view one = http::trimmed(list.substr(0, comma));
+    list.remove_prefix(std::min(comma + 1, list.size()));
+    const std::size_t eq = one.find('=');
+    if (eq == std::string_view::npos) continue;
+    const std::string_view text = one.substr(eq + 1);
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error == std::errc() && end == text.data() + text.size()) what(one.substr(0, eq), value);
+  }
+}
+
+}  // namespace
+
+Service::Service(Loop& loop, const Limits& limits, const Terms& terms, const DoorTerms& door,
+                 const Site& site, Note note)
+    : loop_(loop), limits_(limits), door_(door), site_(site), note_(std::move(note)),
+      max_forwards_(terms.max_forwards),
+      callers_(loop, limits, site.listen, [this](Caller& c, const http::Messages& m) { came(c, m); },
+               [this](Caller& c) { left(c); }, [this](Caller& c) { overdue(c.hit); }),
+      pools_(loop, limits, std::min(limits.connect, terms.drain_grace * 0.5)),
+      discovery_(loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
+                 [this](const char* why) { list_lost(why); }),
+      desk_(loop, limits, site.desk, site.seed,
+            [this](const std::string& method, const Json& params) { desk_said(method, params); },
+            [this](Answer answer, const Json* state) { vote_answered(answer, state); },
+            [this](const char* what) { note_(std::string("desk: connection ") + what); }),
+      stop_(loop, [this] { check_wound_down(); }), module_(make_router(terms, site.seed, *this)) {}
+
+Service::~Service() = default;
+
+void Service::start() {
+  tell([](Router& r) { r.started(); });
+  if (!site_.known.empty() && !discovery_.take(site_.known)) note_("known list can't be read");
+  if (const auto news = Json::parse(site_.news)) stage(*news, false);
+  desk_.start();
+  ready_ = true;
+}
+
+// ---- Clients ----
+
+void Service::came(Caller& caller, const http::Messages& request) {
+  const http::Head& head = request.head();
+  std::string_view path = head.word(1);
+  path = path.substr(0, path.find('?'));
+  if (path == "/health/ready") {
+    if (head.word(0) != "GET") return caller.answer_plain(405);
+    return caller.answer_plain(ready_ && !winding_down_ ? 200 : 503);
+  }
+  path.remove_prefix(1);
+  const unsigned group = index_of(door_.path_groups, path.substr(0, path.find('/')));
+  if (group >= door_.path_groups.size()) return caller.answer_plain(404);
+  const PathGroupDoor& needs = door_.needs[group];
+  if (head.word(0) != (needs.repeatable ? "GET" : "POST")) return caller.answer_plain(405);
+  const auto id = head.find("X-Correlation-Id"), time_left = head.find("X-Time-Left-Ms");
+  const auto left_ms = time_left ? http::whole_number(*time_left) : std::nullopt;
+  if (!id || id->empty() || !left_ms || (needs.tagged && head.find("Idempotency-Key").value_or("").empty()))
+    return caller.answer_plain(400);
+
+  const HitId place = hits_.take();
+  Hit& hit = hits_[place];
+  ++in_hand_;
+  hit.live = true;
+  hit.caller = &caller;
+  caller.hit = place;
+  hit.give_up_at = loop_.now() + Span::ms(std::min(static_cast<double>(*left_ms), 3.6e6));
+  hit.head.assign(head.first_line()).append(kept_lines(head));
+  hit.body = request.raw_body();
+  caller.answer_by(hit.give_up_at + kOverdue);
+  std::uint64_t key = 0;
+  double hint = 0;
+  if (const auto facts = head.find("X-Facts")) {
+    each_figure(*facts, [&](std::string_view name, double value) {
+      if (name == "targetKey" && value >= 1 && value < 1.8e19) key = static_cast<std::uint64_t>(value);
+      if (name == "predictedMs") hint = value;
+    });
+  }
+  const unsigned customer = index_of(door_.customers, head.find("X-Account").value_or(""));
+  const Instant give_up_at = hit.give_up_at;
+  tell([&](Router& r) { r.taken(place, group, customer, key, give_up_at, hint); });
+}
+
+Caller* Service::take_caller(HitId id) {
+  Caller* const caller = hits_[id].caller;
+  hits_[id].caller = nullptr;
+  if (caller) caller->hit = UINT32_MAX;
+  return caller;
+}
+
+void Service::left(Caller& caller) {
+  const HitId id = caller.hit;
+  if (id == UINT32_MAX) return;
+  take_caller(id);
+  tell([&](Router& r) { r.client_left(id); });
+  drop_if_over(id);
+}
+
+// Guards against a hit that the module would leave without an answer.
+void Service::overdue(HitId id) {
+  note_("hit overdue: answered with an error");
+  if (Caller* const caller = take_caller(id)) caller->answer_plain(504);
+  tell([&](Router& r) { r.client_left(id); });
+  drop_if_over(id);
+}
+
+void Service::drop_if_over(HitId id) {
+  Hit& hit = hits_[id];
+  if (!hit.live || hit.caller || hit.out > 0) return;
+  --in_hand_;
+  hit = Hit{};
+  hits_.give_back(id);
+}
+
+void Service::bounce(HitId id, Span retry_after) {
+  char after[48] = "";
+  if (retry_after > Span()) std::snprintf(after, sizeof after, "Retry-After: %.3f\r\n", retry_after.s());
+  if (Caller* const caller = take_caller(id)) caller->answer_plain(503, after);
+  loop_.later([this, id] { drop_if_over(id); });
+}
+
+void Service::error(HitId id) {
+  if (Caller* const caller = take_caller(id)) caller->answer_plain(502);
+  loop_.later([this, id] { drop_if_over(id); });
+}
+
+// ---- Forwards ----
+
+void Service::forward(HitId id, HostIndex host, Span try_for) {
+  Hit& hit = hits_[id];
+  const Instant now = loop_.now();
+  const auto leg = static_cast<unsigned>(hit.legs.size());
+  const Instant until = try_for > Span() ? std::min(now + try_for, hit.give_up_at) : hit.give_up_at;
+  const std::int64_t left_ms = std::max<std::int64_t>(0, (until - now).us() / 1000);
+  const std::string bytes = hit.head + "X-Time-Left-Ms: " + std::to_string(left_ms) + "\r\n\r\n" + hit.body;
+  hit.legs.push_back({host, now, nullptr, true});
+  ++hit.out;
+  hit.legs.back().link =
+      pools_.send(host, bytes, until, [this, id, leg](Result result, const http::Messages* answer) {
+        forward_ended(id, leg, result, answer);
+      });
+}
+
+void Service::cancel(HitId id, unsigned leg) {
+  Hit& hit = hits_[id];
+  if (leg >= hit.legs.size() || !hit.legs[leg].link) return;
+  HostPools::Link* const link = hit.legs[leg].link;
+  hit.legs[leg].link = nullptr;
+  pools_.cancel(link);
+}
+
+void Service::forward_ended(HitId id, unsigned leg, Result result, const http::Messages* answer) {
+  Hit& hit = hits_[id];
+  Leg& forward = hit.legs[leg];
+  forward.link = nullptr;
+  forward.out = false;
+  --hit.out;
+  const HostIndex host = forward.host;
+  const Span took = loop_.now() - forward.sent;
+  bool terminal = false;
+  if (result == Result::kOk) {
+    if (Caller* const caller = take_caller(id)) {
+      std::string fields = kept_lines(answer->head());
+      if (answer->body_by_stream_end())
+        fields += "Content-Length: " + std::to_string(answer->raw_body().size()) + "\r\n";
+      caller->answer(200, fields, answer->raw_body());
+      terminal = true;
+    }
+  }
+  const auto told = report(answer);
+  tell([&](Router& r) { r.ended(id, leg, host, result, took, terminal, told); });
+  drop_if_over(id);
+}
+
+std::span<const float> Service::report(const http::Messages* answer) {
+  const auto load = answer ? answer->head().find("X-Backend-Load") : std::nullopt;
+  if (!load) return {};
+  report_.assign(door_.report_columns.size(), 0.0F);
+  each_figure(*load, [&](std::string_view name, double value) {
+    const unsigned column = index_of(door_.report_columns, name);
+    if (column < report_.size()) report_[column] = static_cast<float>(value);
+  });
+  return report_;
+}
+
+void Service::ask_load(HostIndex host) {
+  const std::string path = door_.report_columns.empty() ? "/health/live" : "/stats";
+  const std::string bytes = "GET " + path + " HTTP/1.1\r\nHost: " + hosts_[host].address + "\r\n\r\n";
+  pools_.send(host, bytes, loop_.now() + limits_.connect, [this, host](Result result, const http::Messages* a) {
+    const auto told = report(a);
+    tell([&](Router& r) { r.load_told(host, result == Result::kOk, told); });
+  });
+}
+
+// ---- The list ----
+
+void Service::follow_list() { discovery_.follow(); }
+
+void Service::listed(bool whole, const Json& entries) {
+  tell([&](Router& r) { r.list_begin(whole); });
+  if (whole) {
+    for (Known& known : hosts_) known.listed = false;
+  }
+  entries.each_item([this](const Json& entry) { list_entry(entry); });
+  if (whole) {
+    for (HostIndex h = 0; h < hosts_.size(); ++h) {
+      if (!hosts_[h].listed) pools_.place(h, hosts_[h].address, false, false);
+    }
+  }
+  tell([](Router& r) { r.list_end(); });
+}
+
+void Service::list_entry(const Json& entry) {
+  const std::string name = entry.text("uid"), state = entry.text("state");
+  if (name.empty() || (state != "up" && state != "draining" && state != "removed")) {
+    return note_("list: an entry with no id or an unknown state is passed over: " +
+                 std::string(entry.raw().substr(0, 200)));
+  }
+  const auto found = indices_.find(name);
+  const auto host = found != indices_.end() ? found->second : static_cast<HostIndex>(hosts_.size());
+  if (found == indices_.end()) {
+    indices_.emplace(name, host);
+    hosts_.push_back({name, "", 0, 0, false});
+  }
+  Known& known = hosts_[host];
+  std::string address = entry.text("endpoint");
+  if (address.empty()) address = known.address;
+  const double build = entry.number("release", known.build), started = entry.number("boot_ms", 0);
+  const bool fresh = address != known.address || build != known.build || started != known.started;
+  known = {name, address, build, started, true};
+  pools_.place(host, address, fresh, state == "up");
+  const auto place = [&](const std::vector<std::string>& names, const char* field) {
+    const unsigned at = index_of(names, listed_name(entry.text(field)));
+    return at < names.size() ? at : 0;
+  };
+  const HostState as = state == "up"         ? HostState::kReady
+                       : state == "draining" ? HostState::kDraining
+                                             : HostState::kGone;
+  tell([&](Router& r) {
+    r.list_host(host, as, static_cast<BuildId>(std::lround(std::clamp(build, 0.0, 65535.0))),
+                place(door_.zones, "az"), static_cast<unsigned>(std::max(0.0, entry.number("pod_group", 0))),
+                place(door_.kinds, "model"), started > 0 ? Instant::at_ms(started) : Instant());
+  });
+}
+
+void Service::list_lost(const char* why) {
+  note_(std::string("discovery: watch ") + why);
+  tell([](Router& r) { r.list_failed(); });
+}
+
+// ---- The release desk ----
+
+void Service::vote(BuildId build, unsigned stage, Vote vote) { desk_.vote(build, stage, vote); }
+
+void Service::vote_answered(Answer answer, const Json* state) {
+  if (answer == Answer::kTaken) return stage(*state, true);
+  tell([&](Router& r) { r.stage_told(0, 0, Phase::kTrial, true, answer, 0, Span()); });
+}
+
+void Service::stage(const Json& state, bool answers_vote) {
+  static const std::vector<std::string> phases{"trial", "rolling_back", "released", "withdrawn"};
+  const unsigned phase = index_of(phases, state.text("progress"));
+  const double build = state.number("image", -1), at = state.number("ring", -1), cap = state.number("ceiling", -1);
+  if (phase >= phases.size() || build < 0 || build > 65535 || at < 0 || at > 255 || cap < 0) {
+    note_("desk: a state that can't be read is passed over: " + std::string(state.raw().substr(0, 200)));
+    if (answers_vote) vote_answered(Answer::kUnknown, nullptr);
+    return;
+  }
+  tell([&](Router& r) {
+    r.stage_told(static_cast<BuildId>(build), static_cast<unsigned>(at), static_cast<Phase>(phase), answers_vote,
+                 Answer::kTaken, cap, Span::ms(std::max(0.0, state.number("lag_ms", 0))));
+  });
+}
+
+void Service::desk_said(const std::string& method, const Json& params) {
+  const Span age = Span::ms(std::max(0.0, params.number("lag_ms", 0)));
+  if (method == "ROLLOUT") return stage(params, false);
+  const unsigned group = index_of(door_.path_groups, params.text("type"));
+  const double build = params.number("image", 0), count = params.number("n", -1), bad = params.number("bad", -1);
+  const auto host = indices_.find(params.text("host"));
+  if (method == "SAMPLE" && group < door_.path_groups.size() && build >= 0 && build < 65536 && bad >= 0 &&
+      count >= bad && count < 4e9) {
+    tell([&](Router& r) {
+      r.tally_told(static_cast<BuildId>(build), group, static_cast<std::uint32_t>(count),
+                   static_cast<std::uint32_t>(bad), Span::ms(params.number("latency_ms", 0)), age);
+    });
+  } else if (method == "DISPUTE" && group < door_.path_groups.size() && host != indices_.end()) {
+    tell([&](Router& r) { r.answer_disputed(host->second, group, age); });
+  } else {
+    note_("desk: news that can't be used is passed over: " + method + " " +
+          std::string(params.raw().substr(0, 200)));
+  }
+}
+
+// ---- The rest ----
+
+void Service::wake(Span from_now, std::uint64_t token) {
+  auto& timer = wakes_[token];
+  if (!timer) {
+    timer = std::make_unique<Timer>(loop_, [this, token] { tell([&](Router& r) { r.woken(token); }); });
+  }
+  timer->in(from_now);
+}
+
+void Service::log(std::string_view line) { note_(line); }
+
+void Service::wind_down(std::function<void()> ended) {
+  if (winding_down_) return;
+  winding_down_ = true;
+  wound_down_ = std::move(ended);
+  stop_at_ = loop_.now();
+  callers_.wind_down();
+  stop_.in(limits_.stop_accepting);
+}
+
+void Service::check_wound_down() {
+  callers_.close_door();
+  callers_.wind_down();
+  const bool over = in_hand_ == 0 && callers_.all_idle();
+  if (over || loop_.now() - stop_at_ > limits_.stop_at_latest) return wound_down_();
+  stop_.in(Span::ms(20));
+}
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/routing/service.hpp
@@ -0,0 +1,118 @@
+// The router on sockets: what comes in on any of them becomes a call of the decision module, and what the
+// module says is carried out. Nothing here decides anything.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/limits.hpp"
+#include "base/slab.hpp"
+#include "choice.hpp"
+#include "routing/callers.hpp"
+#include "routing/desk.hpp"
+#include "routing/discovery.hpp"
+#include "routing/host_pools.hpp"
+#include "terms/terms.hpp"
+#include "transport/loop.hpp"
+
+namespace ashbeam {
+
+// Where a router stands among the others, as its machine tells it.
+struct Site {
+  std::string name, listen, discovery, desk;
+  std::uint64_t seed = 0;
+  std::string known, news;  // JSON in discovery's and the release desk's forms, or empty
+};
+
+class Service : private Sink {
+ public:
+  using Note = std::function<void(std::string_view)>;  // a log line
+  Service(Loop& loop, const Limits& limits, const Terms& terms, const DoorTerms& door, const Site& site,
+          Note note);
+  ~Service() override;
+  void start();
+  // Ends the program by and by: not ready, all that comes is answered, `ended` once nothing is left.
+  void wind_down(std::function<void()> ended);
+  std::uint16_t port() const { return callers_.port(); }
+
+ private:
+  struct Leg {
+    HostIndex host = 0;
+    Instant sent;
+    HostPools::Link* link = nullptr;  // stands while the forward is out
+    bool out = true;
+  };
+  struct Hit {
+    bool live = false;  // in a place of the slab
+    Caller* caller = nullptr;  // none once it is answered or its client has left
+    Instant give_up_at;
+    std::string head, body;  // of each forward, but for the time left
+    std::vector<Leg> legs;
+    unsigned out = 0;
+  };
+  struct Known {  // of a host, as last listed
+    std::string name, address;
+    double build = 0, started = 0;
+    bool listed = false;
+  };
+
+  // What the module does.
+  void forward(HitId id, HostIndex host, Span try_for) override;
+  void bounce(HitId id, Span retry_after) override;
+  void error(HitId id) override;
+  void cancel(HitId id, unsigned leg) override;
+  void wake(Span from_now, std::uint64_t token) override;
+  void ask_load(HostIndex host) override;
+  void follow_list() override;
+  void vote(BuildId build, unsigned stage, Vote vote) override;
+  void tell_peers(std::span<const std::uint8_t>) override {}  // the pages give routers no way to each other
+  void log(std::string_view line) override;
+
+  // What comes in.
+  void came(Caller& caller, const http::Messages& request);
+  void left(Caller& caller);
+  void forward_ended(HitId id, unsigned leg, Result result, const http::Messages* answer);
+  void listed(bool whole, const Json& entries);
+  void list_entry(const Json& entry);
+  void list_lost(const char* why);
+  void desk_said(const std::string& method, const Json& params);
+  void stage(const Json& state, bool answers_vote);
+  void vote_answered(Answer answer, const Json* state);
+  void overdue(HitId id);
+
+  template <class What>
+  void tell(What&& what) {
+    module_->clock(loop_.now());
+    what(*module_);
+  }
+  Caller* take_caller(HitId id);  // for its final answer
+  void drop_if_over(HitId id);
+  std::span<const float> report(const http::Messages* answer);
+  void check_wound_down();
+
+  Loop& loop_;
+  const Limits& limits_;
+  DoorTerms door_;
+  Site site_;
+  Note note_;
+  std::uint32_t max_forwards_;
+  Callers callers_;
+  HostPools pools_;
+  Discovery discovery_;
+  Desk desk_;
+  Slab<Hit> hits_;
+  unsigned in_hand_ = 0;
+  std::map<std::string, HostIndex, std::less<>> indices_;
+  std::vector<Known> hosts_;
+  std::vector<float> report_;
+  std::map<std::uint64_t, std::unique_ptr<Timer>> wakes_;
+  bool ready_ = false, winding_down_ = false;
+  Instant stop_at_;
+  Timer stop_;
+  std::function<void()> wound_down_;
+  std::unique_ptr<Router> module_;
+};
+
+}  // namespace ashbeam
--- a/src/simhost/fleet.cpp
+++ b/src/simhost/fleet.cpp
@@ -1,10 +1,10 @@
 #include "simhost/fleet.hpp"
 
-#include <charconv>
 #include <cmath>
-#include <map>
 #include <string>
 
+#include "terms/terms.hpp"
+
 namespace ashbeam::simhost {
 
 namespace {
@@ -44,60 +44,6 @@
 };
 constexpr std::size_t kEntryBytes = 27;
 
-class Pairs {  // the settings text as path=value lines
- public:
-  explicit Pairs(std::string_view lines) {
-    while (!lines.empty()) {
-      const std::size_t end = std::min(lines.find('\n'), lines.size());
-      const std::string_view line = lines.substr(0, end);
-      const std::size_t eq = line.find('=');
-      if (eq != std::string_view::npos) values_[std::string(line.substr(0, eq))] = line.substr(eq + 1);
-      lines.remove_prefix(std::min(end + 1, lines.size()));
-    }
-  }
-  std::string word(const std::string& path) const {
-    const auto it = values_.find(path);
-    if (it == values_.end()) throw WireError("settings: '" + path + "' is missing");
-    return it->second;
-  }
-  std::string word(const std::string& path, const char* otherwise) const {
-    return values_.contains(path) ? word(path) : otherwise;
-  }
-  double number(const std::string& path) const { return parse(path, word(path)); }
-  double number(const std::string& path, double otherwise) const {
-    return values_.contains(path) ? number(path) : otherwise;
-  }
-  std::uint32_t count(const std::string& path) const { return static_cast<std::uint32_t>(number(path)); }
-  Span span(const std::string& path) const { return Span::ms(number(path)); }
-  bool flag(const std::string& path) const { return word(path, "false") == "true"; }
-  std::vector<std::string> words(const std::string& path) const {
-    std::vector<std::string> all;
-    std::string rest = word(path, "");
-    while (!rest.empty()) {
-      const std::size_t comma = std::min(rest.find(','), rest.size());
-      all.push_back(rest.substr(0, comma));
-      rest.erase(0, comma + 1);
-    }
-    return all;
-  }
-  std::vector<double> numbers(const std::string& path) const {
-    std::vector<double> all;
-    for (const std::string& w : words(path)) all.push_back(parse(path, w));
-    return all;
-  }
-
- private:
-  static double parse(const std::string& path, const std::string& text) {
-    double v = 0;
-    const auto [end, err] = std::from_chars(text.data(), text.data() + text.size(), v);
-    if (err != std::errc() || end != text.data() + text.size()) {
-      throw WireError("settings: '" + path + "' is not a number: '" + text + "'");
-    }
-    return v;
-  }
-  std::map<std::string, std::string> values_;
-};
-
 Result result_of(std::uint16_t verdict, const Reader& in) {
   switch (verdict) {
     case 200:
@@ -140,85 +86,6 @@
 
 }  // namespace
 
-Terms read_terms(std::string_view lines) {
-  const Pairs given(lines);
-  Terms t;
-  const std::uint32_t groups = given.count("grades.count");
-  for (std::uint32_t i = 0; i < groups; ++i) {
-    const std::string at = "grades." + std::to_string(i) + ".";
-    PathGroup g;
-    const std::string effect = given.word(at + "effect");
-    if (effect == "idempotent")
-      g.repeats = Repeats::kRepeatable;
-    else if (effect == "deduplicated")
-      g.repeats = Repeats::kTagged;
-    else if (effect == "at_most_once")
-      g.repeats = Repeats::kMutating;
-    else
-      throw WireError("settings: '" + at + "effect' is unknown: '" + effect + "'");
-    const std::string group = given.word(at + "group", "all");
-    g.group = group == "zone" ? DropGroup::kZone : group == "cell" ? DropGroup::kCell : DropGroup::kAll;
-    g.target = given.span(at + "goalTimeMs");
-    g.client_timeout = given.span(at + "deadlineMs");
-    g.memory = Span::ms(given.number(at + "memorySpanMs", 0));
-    g.benefit = given.number(at + "worth", 1);
-    g.late_worth = given.number(at + "lateWorth", 0);
-    t.path_groups.push_back(g);
-  }
-  if (groups == 0) throw WireError("settings: 'grades.count' is 0");
-  const auto parties = static_cast<std::uint32_t>(given.number("parties.count", 0));
-  for (std::uint32_t i = 0; i < parties; ++i) {
-    t.customer_per_s.push_back(given.number("parties." + std::to_string(i) + ".allowancePerS", 0));
-  }
-  t.over_share_worth = given.number("overShareWorth", 1);
-  t.zones = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.words("zones").size()));
-  t.kinds = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.words("kinds").size()));
-  t.zone = static_cast<std::uint32_t>(given.number("zone", 0));
-  t.routers = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.number("replicasOfMe", 1)));
-  t.me = static_cast<std::uint32_t>(given.number("myNumber", 0));
-  t.must_ask = given.word("discovery", "automatic") == "subscribe";
-  t.may_cancel = given.flag("allowed.cancel");
-  t.may_copy = given.flag("allowed.secondCopies");
-  t.may_tell_peers = given.flag("allowed.peers");
-  t.may_ask_load = given.flag("allowed.probes");
-  t.retry_after = given.flag("allowed.retryAfter");
-  t.longest_retry_after = Span::ms(given.number("allowed.maxRetryAfterMs", 0));
-  t.max_forwards = static_cast<std::uint32_t>(given.number("allowed.maxAttempts", 1));
-  t.report_in_answers = given.word("stats.how", "off") == "inline";
-  const auto columns = given.words("stats.columns");
-  for (std::size_t i = 0; i < columns.size(); ++i) {
-    if (columns[i] == "active") t.active_column = static_cast<int>(i);
-  }
-  t.drain_grace = given.span("rules.drainGraceMs");
-  t.ask_within = Span::ms(given.number("rules.askWithinMs", 1e9));
-  t.cold_window = given.span("rules.fallMs");
-  t.cold_multiple = given.number("rules.fallMultiple");
-  t.start_capacity = given.number("rules.startCapacity");
-  t.warm_after = given.span("rules.warmAfterMs");
-  t.tick = Span::ms(given.number("tickMs", 1));
-  t.cross_price = given.number("prices.crossZone", 0);
-  t.probe_price = given.number("prices.probe", 0);
-  t.caps = given.numbers("familyInfo.mostShares");
-  if (t.caps.empty()) throw WireError("settings: 'familyInfo.mostShares' is missing");
-  t.rings = given.numbers("familyInfo.rings");
-  t.by_path_group = given.word("familyInfo.counts", "all") == "per_lane";
-  t.one_way = given.flag("familyInfo.forwardOnly");
-  t.clocked = given.word("familyInfo.decidedBy", "single") == "clocked";
-  t.rolling = given.word("familyInfo.style", "side_by_side") == "rolling";
-  t.closed_stages = static_cast<std::uint32_t>(given.number("familyInfo.closedStages", 0));
-  t.spare = given.number("familyInfo.spareTries", 0);
-  t.window = given.span("familyInfo.spanMs");
-  t.vote_life = given.span("familyInfo.ballotTtlMs");
-  t.bake = Span::ms(given.number("familyInfo.bakeMs", 2000));
-  t.tally_every = Span::ms(given.number("familyInfo.tallyEveryMs", 0));
-  t.answer_wait = Span::ms(given.number("familyInfo.answerWaitMs", 2000));
-  t.back_needed = static_cast<std::uint32_t>(given.number("familyInfo.noesNeeded", 1));
-  t.votes_per_s = given.number("familyInfo.callsPerS", 10);
-  t.reported_share = given.number("familyInfo.reportedShare", 0);
-  t.tally_sample = given.number("familyInfo.tallySample", 1);
-  return t;
-}
-
 // One router with its door: the wire's host addresses become small indices here.
 class Fleet::Instance : public Sink {
  public:
@@ -349,7 +216,7 @@
     case kStart: {
       const std::uint64_t seed = in.u64();
       const auto text = in.bytes(in.u32());
-      to.start(read_terms({reinterpret_cast<const char*>(text.data()), text.size()}), seed);
+      to.start(read_terms(Pairs({reinterpret_cast<const char*>(text.data()), text.size()})), seed);
       call([&](Router& r) { r.started(); });
       break;
     }
--- a/src/simhost/fleet.hpp
+++ b/src/simhost/fleet.hpp
@@ -12,8 +12,6 @@
 
 namespace ashbeam::simhost {
 
-Terms read_terms(std::string_view lines);  // throws WireError where something that decisions need is missing
-
 class Fleet {
  public:
   Fleet();
--- /dev/null
+++ b/src/terms/terms.cpp
@@ -0,0 +1,162 @@
+#include "terms/terms.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace ashbeam {
+
+namespace {
+
+double parse(const std::string& path, const std::string& text) {
+  double v = 0;
+  const auto [end, err] = std::from_chars(text.data(), text.data() + text.size(), v);
+  if (err != std::errc() || end != text.data() + text.size()) {
+    throw TermsError("settings: '" + path + "' is not a number: '" + text + "'");
+  }
+  return v;
+}
+
+}  // namespace
+
+Pairs::Pairs(std::string_view lines) {
+  while (!lines.empty()) {
+    const std::size_t end = std::min(lines.find('\n'), lines.size());
+    const std::string_view line = lines.substr(0, end);
+    const std::size_t eq = line.find('=');
+    if (eq != std::string_view::npos) values_[std::string(line.substr(0, eq))] = line.substr(eq + 1);
+    lines.remove_prefix(std::min(end + 1, lines.size()));
+  }
+}
+
+std::string Pairs::word(const std::string& path) const {
+  const auto it = values_.find(path);
+  if (it == values_.end()) throw TermsError("settings: '" + path + "' is missing");
+  return it->second;
+}
+
+std::string Pairs::word(const std::string& path, const char* otherwise) const {
+  return values_.contains(path) ? word(path) : otherwise;
+}
+
+double Pairs::number(const std::string& path) const { return parse(path, word(path)); }
+
+double Pairs::number(const std::string& path, double otherwise) const {
+  return values_.contains(path) ? number(path) : otherwise;
+}
+
+std::vector<std::string> Pairs::words(const std::string& path) const {
+  std::vector<std::string> all;
+  std::string rest = word(path, "");
+  while (!rest.empty()) {
+    const std::size_t comma = std::min(rest.find(','), rest.size());
+    all.push_back(rest.substr(0, comma));
+    rest.erase(0, comma + 1);
+  }
+  return all;
+}
+
+std::vector<double> Pairs::numbers(const std::string& path) const {
+  std::vector<double> all;
+  for (const std::string& w : words(path)) all.push_back(parse(path, w));
+  return all;
+}
+
+Terms read_terms(const Pairs& given) {
+  Terms t;
+  const std::uint32_t groups = given.count("grades.count");
+  for (std::uint32_t i = 0; i < groups; ++i) {
+    const std::string at = "grades." + std::to_string(i) + ".";
+    PathGroup g;
+    const std::string effect = given.word(at + "effect");
+    if (effect == "idempotent")
+      g.repeats = Repeats::kRepeatable;
+    else if (effect == "deduplicated")
+      g.repeats = Repeats::kTagged;
+    else if (effect == "at_most_once")
+      g.repeats = Repeats::kMutating;
+    else
+      throw TermsError("settings: '" + at + "effect' is unknown: '" + effect + "'");
+    const std::string group = given.word(at + "group", "all");
+    g.group = group == "zone" ? DropGroup::kZone : group == "cell" ? DropGroup::kCell : DropGroup::kAll;
+    g.target = given.span(at + "goalTimeMs");
+    g.client_timeout = given.span(at + "deadlineMs");
+    g.memory = Span::ms(given.number(at + "memorySpanMs", 0));
+    g.benefit = given.number(at + "worth", 1);
+    g.late_worth = given.number(at + "lateWorth", 0);
+    t.path_groups.push_back(g);
+  }
+  if (groups == 0) throw TermsError("settings: 'grades.count' is 0");
+  const auto parties = static_cast<std::uint32_t>(given.number("parties.count", 0));
+  for (std::uint32_t i = 0; i < parties; ++i) {
+    t.customer_per_s.push_back(given.number("parties." + std::to_string(i) + ".allowancePerS", 0));
+  }
+  t.over_share_worth = given.number("overShareWorth", 1);
+  t.zones = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.words("zones").size()));
+  t.kinds = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.words("kinds").size()));
+  t.zone = static_cast<std::uint32_t>(given.number("zone", 0));
+  t.routers = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.number("replicasOfMe", 1)));
+  t.me = static_cast<std::uint32_t>(given.number("myNumber", 0));
+  t.must_ask = given.word("discovery", "automatic") == "subscribe";
+  t.may_cancel = given.flag("allowed.cancel");
+  t.may_copy = given.flag("allowed.secondCopies");
+  t.may_tell_peers = given.flag("allowed.peers");
+  t.may_ask_load = given.flag("allowed.probes");
+  t.retry_after = given.flag("allowed.retryAfter");
+  t.longest_retry_after = Span::ms(given.number("allowed.maxRetryAfterMs", 0));
+  t.max_forwards = static_cast<std::uint32_t>(given.number("allowed.maxAttempts", 1));
+  t.report_in_answers = given.word("stats.how", "off") == "inline";
+  const auto columns = given.words("stats.columns");
+  for (std::size_t i = 0; i < columns.size(); ++i) {
+    if (columns[i] == "active") t.active_column = static_cast<int>(i);
+  }
+  t.drain_grace = given.span("rules.drainGraceMs");
+  t.ask_within = Span::ms(given.number("rules.askWithinMs", 1e9));
+  t.cold_window = given.span("rules.fallMs");
+  t.cold_multiple = given.number("rules.fallMultiple");
+  t.start_capacity = given.number("rules.startCapacity");
+  t.warm_after = given.span("rules.warmAfterMs");
+  t.tick = Span::ms(given.number("tickMs", 1));
+  t.cross_price = given.number("prices.crossZone", 0);
+  t.probe_price = given.number("prices.probe", 0);
+  t.caps = given.numbers("familyInfo.mostShares");
+  if (t.caps.empty()) throw TermsError("settings: 'familyInfo.mostShares' is missing");
+  t.rings = given.numbers("familyInfo.rings");
+  t.by_path_group = given.word("familyInfo.counts", "all") == "per_lane";
+  t.one_way = given.flag("familyInfo.forwardOnly");
+  t.clocked = given.word("familyInfo.decidedBy", "single") == "clocked";
+  t.rolling = given.word("familyInfo.style", "side_by_side") == "rolling";
+  t.closed_stages = static_cast<std::uint32_t>(given.number("familyInfo.closedStages", 0));
+  t.spare = given.number("familyInfo.spareTries", 0);
+  t.window = given.span("familyInfo.spanMs");
+  t.vote_life = given.span("familyInfo.ballotTtlMs");
+  t.bake = Span::ms(given.number("familyInfo.bakeMs", 2000));
+  t.tally_every = Span::ms(given.number("familyInfo.tallyEveryMs", 0));
+  t.answer_wait = Span::ms(given.number("familyInfo.answerWaitMs", 2000));
+  t.back_needed = static_cast<std::uint32_t>(given.number("familyInfo.noesNeeded", 1));
+  t.votes_per_s = given.number("familyInfo.callsPerS", 10);
+  t.reported_share = given.number("familyInfo.reportedShare", 0);
+  t.tally_sample = given.number("familyInfo.tallySample", 1);
+  return t;
+}
+
+DoorTerms read_door_terms(const Pairs& given) {
+  DoorTerms t;
+  const auto names = [&](const std::string& list, std::vector<std::string>& to) {
+    const auto count = static_cast<std::uint32_t>(given.number(list + ".count", 0));
+    for (std::uint32_t i = 0; i < count; ++i) to.push_back(given.word(list + "." + std::to_string(i) + ".name"));
+  };
+  names("grades", t.path_groups);
+  for (std::size_t i = 0; i < t.path_groups.size(); ++i) {
+    const std::string effect = given.word("grades." + std::to_string(i) + ".effect");
+    t.needs.push_back({effect == "idempotent", effect == "deduplicated"});
+  }
+  names("parties", t.customers);
+  t.zones = given.words("zones");
+  t.kinds = given.words("kinds");
+  t.report_columns = given.words("stats.columns");
+  t.connect = Span::ms(given.number("allowed.connectTimeoutMs", 250));
+  t.host_idle = Span::ms(given.number("allowed.connIdleMs", 30000));
+  return t;
+}
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/terms/terms.hpp
@@ -0,0 +1,51 @@
+// The settings as path=value pairs, and what is made of them: the terms that the module decides by, and the
+// few figures and names that the wires need. Nothing here decides anything.
+#pragma once
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "choice.hpp"
+
+namespace ashbeam {
+
+struct TermsError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Pairs {
+ public:
+  Pairs() = default;
+  explicit Pairs(std::string_view lines);  // one path=value a line
+  void put(std::string path, std::string value) { values_[std::move(path)] = std::move(value); }
+
+  std::string word(const std::string& path) const;  // throws TermsError where it is missing
+  std::string word(const std::string& path, const char* otherwise) const;
+  double number(const std::string& path) const;
+  double number(const std::string& path, double otherwise) const;
+  std::uint32_t count(const std::string& path) const { return static_cast<std::uint32_t>(number(path)); }
+  Span span(const std::string& path) const { return Span::ms(number(path)); }
+  bool flag(const std::string& path) const { return word(path, "false") == "true"; }
+  std::vector<std::string> words(const std::string& path) const;  // of a list; none where it is missing
+  std::vector<double> numbers(const std::string& path) const;
+
+ private:
+  std::map<std::string, std::string> values_;
+};
+
+Terms read_terms(const Pairs& given);  // throws TermsError where something that decisions need is missing
+
+// What a router on sockets needs besides: names become small indices by their place here.
+struct PathGroupDoor {  // what a client must send
+  bool repeatable = true, tagged = false;
+};
+struct DoorTerms {
+  std::vector<PathGroupDoor> needs;  // by path group
+  std::vector<std::string> path_groups, customers, zones, kinds, report_columns;
+  Span connect, host_idle;
+};
+DoorTerms read_door_terms(const Pairs& given);
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/transport/connection.cpp
@@ -0,0 +1,159 @@
+#include "transport/connection.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/NObserver.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace ashbeam {
+
+namespace {
+
+using Poco::NObserver;
+using Poco::Net::ErrorNotification;
+using Poco::Net::ReadableNotification;
+using Poco::Net::WritableNotification;
+
+class Accepted : public Poco::Net::StreamSocket {  // POCO keeps this constructor for derived classes
+ public:
+  explicit Accepted(int fd) : StreamSocket(new Poco::Net::StreamSocketImpl(fd)) {}
+};
+
+}  // namespace
+
+Connection::Connection(Loop& loop, const Limits& limits, Owner& owner, const std::string& address)
+    : loop_(loop), limits_(limits), owner_(owner) {
+  try {
+    socket_.connectNB(Poco::Net::SocketAddress(address));
+    socket_.setNoDelay(true);
+    watch_writing(true);
+  } catch (const Poco::Exception&) {
+    end();
+  }
+}
+
+Connection::Connection(Loop& loop, const Limits& limits, Owner& owner, int accepted)
+    : loop_(loop), limits_(limits), owner_(owner), socket_(Accepted(accepted)), state_(State::kOpen), was_open_(true) {
+  socket_.setBlocking(false);
+  socket_.setNoDelay(true);
+  watch_reading(true);
+}
+
+void Connection::take(std::size_t n) {
+  taken_ += n;
+  if (taken_ == in_.size()) in_.clear(), taken_ = 0;
+  if (state_ == State::kOpen && unread().size() < limits_.unread) watch_reading(true);
+}
+
+void Connection::write(std::string_view bytes) {
+  if (state_ != State::kOpen && state_ != State::kOpening) return;
+  if (written_ == out_.size()) out_.clear(), written_ = 0;
+  out_.append(bytes);
+  if (state_ == State::kOpen && !writing_) flush();
+}
+
+void Connection::flush() {
+  while (written_ < out_.size()) {
+    const auto n = ::send(socket_.impl()->sockfd(), out_.data() + written_, out_.size() - written_, MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && errno != EAGAIN) return end();
+    if (n < 0) break;
+    written_ += static_cast<std::size_t>(n);
+  }
+  watch_writing(unwritten());
+}
+
+void Connection::finish_writing() {
+  if (state_ == State::kOpen) ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
+}
+
+void Connection::writable(const Told<WritableNotification>&) {
+  if (state_ == State::kOpening) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    ::getsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return end();
+    state_ = State::kOpen;
+    was_open_ = true;
+    watch_reading(true);
+    flush();
+    if (state_ == State::kOpen) owner_.opened();
+    return;
+  }
+  flush();
+  if (state_ == State::kOpen && !unwritten()) owner_.all_written();
+}
+
+void Connection::readable(const Told<ReadableNotification>&) {
+  if (state_ == State::kOpening) return writable({});
+  if (state_ != State::kOpen) return;
+  if (taken_ > 0) in_.erase(0, taken_), taken_ = 0;
+  const std::size_t had = in_.size();
+  in_.resize(had + limits_.read_at_once);
+  const auto n = ::recv(socket_.impl()->sockfd(), in_.data() + had, limits_.read_at_once, 0);
+  const int error = errno;
+  in_.resize(had + static_cast<std::size_t>(std::max<std::ptrdiff_t>(n, 0)));
+  if (n < 0 && (error == EAGAIN || error == EINTR)) return;
+  if (n <= 0) return end();
+  if (unread().size() >= limits_.unread) watch_reading(false);  // until the owner has taken some
+  owner_.bytes_came();
+}
+
+void Connection::failed(const Told<ErrorNotification>&) {
+  if (state_ == State::kOpen && reading_) return;  // reading tells the rest, and what came before the break
+  if (state_ == State::kOpen || state_ == State::kOpening) end();
+}
+
+// The owner hears of it after the call at hand.
+void Connection::end() {
+  state_ = State::kEnded;
+  watch_reading(false);
+  watch_writing(false);
+  loop_.later([this, alive = std::weak_ptr<int>(alive_)] {
+    if (!alive.expired() && state_ == State::kEnded) owner_.ended();
+  });
+}
+
+void Connection::close() {
+  if (state_ == State::kClosed) return;
+  state_ = State::kClosed;
+  watch_reading(false);
+  watch_writing(false);
+  alive_.reset();
+  socket_.close();
+}
+
+bool Connection::quiet() const {
+  if (state_ != State::kOpen || !unread().empty()) return false;
+  char byte = 0;
+  return ::recv(socket_.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+void Connection::watch_reading(bool on) {
+  if (reading_ != on) {
+    const NObserver<Connection, ReadableNotification> observer(*this, &Connection::readable);
+    if (on) loop_.reactor().addEventHandler(socket_, observer);
+    else loop_.reactor().removeEventHandler(socket_, observer);
+    reading_ = on;
+  }
+  // Errors are reported whether asked for or not: unheard, they would spin the reactor.
+  const bool watch = state_ == State::kOpen || state_ == State::kOpening;
+  if (watched_ == watch) return;
+  const NObserver<Connection, ErrorNotification> observer(*this, &Connection::failed);
+  if (watch) loop_.reactor().addEventHandler(socket_, observer);
+  else loop_.reactor().removeEventHandler(socket_, observer);
+  watched_ = watch;
+}
+
+void Connection::watch_writing(bool on) {
+  if (writing_ == on) return;
+  const NObserver<Connection, WritableNotification> observer(*this, &Connection::writable);
+  if (on) loop_.reactor().addEventHandler(socket_, observer);
+  else loop_.reactor().removeEventHandler(socket_, observer);
+  writing_ = on;
+}
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/transport/connection.hpp
@@ -0,0 +1,67 @@
+// One TCP stream with bounded buffers, and its owner's callbacks. Knows no HTTP.
+#pragma once
+#include <Poco/Net/SocketNotification.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <string>
+#include <string_view>
+
+#include "base/limits.hpp"
+#include "transport/loop.hpp"
+
+namespace ashbeam {
+
+class Connection {
+ public:
+  // What the owner is told. None of these comes while the owner is in a call to the connection.
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual void opened() {}
+    virtual void bytes_came() = 0;   // look at unread(), take() what was used
+    virtual void all_written() {}    // after a write that could not be finished at once
+    virtual void ended() = 0;        // by the other side, or broken; unread() still stands
+  };
+
+  Connection(Loop& loop, const Limits& limits, Owner& owner, const std::string& address);  // opens one
+  Connection(Loop& loop, const Limits& limits, Owner& owner, int accepted);                // takes one over
+  ~Connection() { close(); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  bool open() const { return state_ == State::kOpen; }
+  bool opening() const { return state_ == State::kOpening; }
+  // Was it never open, or is something left of what was to be written? Stands after the end, too.
+  bool unwritten() const { return !was_open_ || written_ < out_.size(); }
+  std::string_view unread() const { return std::string_view(in_).substr(taken_); }
+  void take(std::size_t n);
+  void write(std::string_view bytes);  // as much as goes at once, the rest when the other side reads
+  void finish_writing();               // tells the other side that nothing more comes; reading goes on
+  void close();                        // no callback comes after this
+  // Has the other side closed, or sent something unasked? Looks at the socket itself, not at what was read.
+  bool quiet() const;
+
+ private:
+  enum class State { kOpening, kOpen, kEnded, kClosed };
+  template <class What>
+  using Told = Poco::AutoPtr<What>;
+  void readable(const Told<Poco::Net::ReadableNotification>&);
+  void writable(const Told<Poco::Net::WritableNotification>&);
+  void failed(const Told<Poco::Net::ErrorNotification>&);
+  void watch_reading(bool on);
+  void watch_writing(bool on);
+  void flush();
+  void end();
+
+  Loop& loop_;
+  const Limits& limits_;
+  Owner& owner_;
+  Poco::Net::StreamSocket socket_;
+  State state_ = State::kOpening;
+  bool was_open_ = false, reading_ = false, writing_ = false, watched_ = false;
+  std::string in_, out_;
+  std::size_t taken_ = 0, written_ = 0;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);  // outlived by what was put off
+};
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/transport/listener.cpp
@@ -0,0 +1,40 @@
+#include "transport/listener.hpp"
+
+#include <Poco/NObserver.h>
+#include <Poco/Net/SocketAddress.h>
+#include <sys/socket.h>
+
+namespace ashbeam {
+
+Listener::Listener(Loop& loop, const std::string& address, int backlog, std::function<void(int)> came)
+    : loop_(loop), came_(std::move(came)) {
+  socket_.bind(Poco::Net::SocketAddress(address), true);
+  socket_.listen(backlog);
+  socket_.setBlocking(false);
+  pause(false);
+}
+
+void Listener::pause(bool on) {
+  if (closed_ || watched_ != on) return;
+  const Poco::NObserver<Listener, Poco::Net::ReadableNotification> observer(*this, &Listener::readable);
+  if (on) loop_.reactor().removeEventHandler(socket_, observer);
+  else loop_.reactor().addEventHandler(socket_, observer);
+  watched_ = !on;
+}
+
+void Listener::accept_waiting() {
+  while (!closed_ && watched_) {
+    const int fd = ::accept4(socket_.impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    came_(fd);
+  }
+}
+
+void Listener::close() {
+  if (closed_) return;
+  pause(true);
+  closed_ = true;
+  socket_.close();
+}
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/transport/listener.hpp
@@ -0,0 +1,33 @@
+// Accepts TCP connections and hands their descriptors on; may pause.
+#pragma once
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketNotification.h>
+
+#include <functional>
+#include <string>
+
+#include "transport/loop.hpp"
+
+namespace ashbeam {
+
+class Listener {
+ public:
+  // `came` owns the descriptor that it is given. Throws Poco::Exception where the address can't be had.
+  Listener(Loop& loop, const std::string& address, int backlog, std::function<void(int)> came);
+  ~Listener() { close(); }
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+  void pause(bool on);
+  void accept_waiting();  // all that the machine has accepted already
+  void close();
+  std::uint16_t port() const { return socket_.address().port(); }
+
+ private:
+  void readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) { accept_waiting(); }
+  Loop& loop_;
+  std::function<void(int)> came_;
+  Poco::Net::ServerSocket socket_;
+  bool watched_ = false, closed_ = false;
+};
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/transport/loop.cpp
@@ -0,0 +1,80 @@
+#include "transport/loop.hpp"
+
+#include <Poco/ErrorHandler.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace ashbeam {
+
+namespace {
+
+template <class Clock>
+std::int64_t reading_us() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count();
+}
+
+constexpr std::int64_t kLongestWaitUs = 1'000'000;
+
+// One callback's exception must not take the others with it; the program's error handler logs it.
+void guarded(const std::function<void()>& what) {
+  try {
+    what();
+  } catch (const std::exception& e) {
+    Poco::ErrorHandler::handle(e);
+  }
+}
+
+}  // namespace
+
+Loop::Loop()
+    : unix_minus_steady_us_(reading_us<std::chrono::system_clock>() -
+                            reading_us<std::chrono::steady_clock>()) {
+  set_wait();
+}
+
+Instant Loop::now() const {
+  return Instant::at_us(reading_us<std::chrono::steady_clock>() + unix_minus_steady_us_);
+}
+
+void Loop::later(std::function<void()> what) {
+  put_off_.push_back(std::move(what));
+  if (put_off_.size() == 1) set_wait();
+}
+
+// POCO waits in whole milliseconds and cuts fractions off: rounded up here, or the last one would be spun away.
+void Loop::set_wait() {
+  std::int64_t us = kLongestWaitUs;
+  if (!put_off_.empty()) us = 0;
+  else if (!timers_.empty()) us = std::clamp<std::int64_t>((timers_.begin()->first.first - now()).us(), 0, us);
+  setTimeout(Poco::Timespan((us + 999) / 1000 * 1000));
+}
+
+// What was put off comes first, then the timers that are due; a timer set meanwhile waits for the next turn.
+void Loop::run_due() {
+  running_.swap(put_off_);
+  for (auto& what : running_) guarded(what);
+  running_.clear();
+  const Due until{now(), next_number_};
+  while (!timers_.empty() && timers_.begin()->first <= until) {
+    Timer* const timer = timers_.begin()->second;
+    timer->off();
+    guarded(timer->then_);
+  }
+  set_wait();
+}
+
+void Timer::at(Instant when) {
+  off();
+  due_ = {when, loop_.next_number_++};
+  armed_ = true;
+  const auto place = loop_.timers_.emplace(due_, this).first;
+  if (place == loop_.timers_.begin()) loop_.set_wait();
+}
+
+void Timer::off() {
+  if (armed_) loop_.timers_.erase(due_);
+  armed_ = false;
+}
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/transport/loop.hpp
@@ -0,0 +1,67 @@
+// The one reactor: POCO's, with timers and with work put off until the callback at hand has returned.
+#pragma once
+#include <Poco/Net/SocketReactor.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "base/time.hpp"
+
+namespace ashbeam {
+
+class Loop : private Poco::Net::SocketReactor {
+ public:
+  Loop();
+
+  // The machine's clock in Unix time, read once at start and carried on by the steady clock: never goes back.
+  Instant now() const;
+  void run() { Poco::Net::SocketReactor::run(); }
+  void stop() { Poco::Net::SocketReactor::stop(); }
+  // Runs `what` after the callback at hand, before the next wait.
+  void later(std::function<void()> what);
+  // Destroys `what` then: a callback may so end its own object.
+  template <class T>
+  void destroy_later(std::unique_ptr<T> what) {
+    later([kept = std::shared_ptr<T>(std::move(what))] {});
+  }
+  Poco::Net::SocketReactor& reactor() { return *this; }
+
+ private:
+  friend class Timer;
+  using Due = std::pair<Instant, std::uint64_t>;
+
+  void onBusy() override { run_due(); }  // before the events of this turn are handed out
+  void onTimeout() override { run_due(); }
+  void onIdle() override { run_due(); }
+  void run_due();
+  void set_wait();
+
+  std::int64_t unix_minus_steady_us_;
+  std::map<Due, class Timer*> timers_;
+  std::uint64_t next_number_ = 0;
+  std::vector<std::function<void()>> put_off_, running_;
+};
+
+// Calls back once at a time that may be moved or taken back; destroying it takes it back.
+class Timer {
+ public:
+  Timer(Loop& loop, std::function<void()> then) : loop_(loop), then_(std::move(then)) {}
+  ~Timer() { off(); }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+  void at(Instant when);
+  void in(Span wait) { at(loop_.now() + wait); }
+  void off();
+  bool armed() const { return armed_; }
+
+ private:
+  friend class Loop;
+  Loop& loop_;
+  std::function<void()> then_;
+  Loop::Due due_;
+  bool armed_ = false;
+};
+
+}  // namespace ashbeam
--- a/tests/simhost_test.cpp
+++ b/tests/simhost_test.cpp
@@ -76,7 +76,7 @@
   Fleet fleet;
   try {
     batch.into(fleet);
-  } catch (const WireError& e) {
+  } catch (const std::runtime_error& e) {
     return e.what();
   }
   return "";
