--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -29,7 +29,7 @@
   try {
     socket_.connectNB(Poco::Net::SocketAddress(address));
     socket_.setNoDelay(true);
-    watch_writing(true);
+    watch(false, true);
   } catch (const Poco::Exception&) {
     end();
   }
@@ -39,13 +39,13 @@
     : loop_(loop), limits_(limits), owner_(owner), socket_(Accepted(accepted)), state_(State::kOpen), was_open_(true) {
   socket_.setBlocking(false);
   socket_.setNoDelay(true);
-  watch_reading(true);
+  watch(true, writing_);
 }
 
 void Connection::take(std::size_t n) {
   taken_ += n;
   if (taken_ == in_.size()) in_.clear(), taken_ = 0;
-  if (state_ == State::kOpen && unread().size() < limits_.unread) watch_reading(true);
+  if (state_ == State::kOpen && unread().size() < limits_.unread) watch(true, writing_);
 }
 
 void Connection::write(std::string_view bytes) {
@@ -63,7 +63,7 @@
     if (n < 0) break;
     written_ += static_cast<std::size_t>(n);
   }
-  watch_writing(unwritten());
+  watch(reading_, unwritten());
 }
 
 void Connection::finish_writing() {
@@ -78,7 +78,7 @@
     if (error != 0) return end();
     state_ = State::kOpen;
     was_open_ = true;
-    watch_reading(true);
+    watch(true, writing_);
     flush();
     if (state_ == State::kOpen) owner_.opened();
     return;
@@ -98,7 +98,7 @@
   in_.resize(had + static_cast<std::size_t>(std::max<std::ptrdiff_t>(n, 0)));
   if (n < 0 && (error == EAGAIN || error == EINTR)) return;
   if (n <= 0) return end();
-  if (unread().size() >= limits_.unread) watch_reading(false);  // until the owner has taken some
+  if (unread().size() >= limits_.unread) watch(false, writing_);  // until the owner has taken some
   owner_.bytes_came();
 }
 
@@ -110,8 +110,7 @@
 // The owner hears of it after the call at hand.
 void Connection::end() {
   state_ = State::kEnded;
-  watch_reading(false);
-  watch_writing(false);
+  watch(false, false);
   loop_.later([this, alive = std::weak_ptr<int>(alive_)] {
     if (!alive.expired() && state_ == State::kEnded) owner_.ended();
   });
@@ -120,8 +119,7 @@
 void Connection::close() {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
-  watch_reading(false);
-  watch_writing(false);
+  watch(false, false);
   alive_.reset();
   socket_.close();
 }
@@ -132,28 +130,21 @@
   return ::recv(socket_.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
 }
 
-void Connection::watch_reading(bool on) {
-  if (reading_ != on) {
-    const NObserver<Connection, ReadableNotification> observer(*this, &Connection::readable);
-    if (on) loop_.reactor().addEventHandler(socket_, observer);
-    else loop_.reactor().removeEventHandler(socket_, observer);
-    reading_ = on;
-  }
-  // Errors are reported whether asked for or not: unheard, they would spin the reactor.
-  const bool watch = state_ == State::kOpen || state_ == State::kOpening;
-  if (watched_ == watch) return;
-  const NObserver<Connection, ErrorNotification> observer(*this, &Connection::failed);
-  if (watch) loop_.reactor().addEventHandler(socket_, observer);
+template <class What>
+void Connection::observe(bool on, void (Connection::*told)(const Told<What>&)) {
+  const NObserver<Connection, What> observer(*this, told);
+  if (on) loop_.reactor().addEventHandler(socket_, observer);
   else loop_.reactor().removeEventHandler(socket_, observer);
-  watched_ = watch;
 }
 
-void Connection::watch_writing(bool on) {
-  if (writing_ == on) return;
-  const NObserver<Connection, WritableNotification> observer(*this, &Connection::writable);
-  if (on) loop_.reactor().addEventHandler(socket_, observer);
-  else loop_.reactor().removeEventHandler(socket_, observer);
-  writing_ = on;
+// Errors are reported whether asked for or not: unheard, they would spin the reactor. POCO 1.11 goes on
+// polling for what an observer that has been removed wanted; adding one, even anew, sets the mode right.
+void Connection::watch(bool reading, bool writing) {
+  const bool alive = state_ == State::kOpen || state_ == State::kOpening;
+  const bool fewer = (reading_ && !reading) || (writing_ && !writing);
+  if (reading_ != reading) observe(reading_ = reading, &Connection::readable);
+  if (writing_ != writing) observe(writing_ = writing, &Connection::writable);
+  if (alive != watched_ || (alive && fewer)) observe(watched_ = alive, &Connection::failed);
 }
 
 }  // namespace ashbeam
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -48,8 +48,9 @@
   void readable(const Told<Poco::Net::ReadableNotification>&);
   void writable(const Told<Poco::Net::WritableNotification>&);
   void failed(const Told<Poco::Net::ErrorNotification>&);
-  void watch_reading(bool on);
-  void watch_writing(bool on);
+  void watch(bool reading, bool writing);
+  template <class What>
+  void observe(bool on, void (Connection::*told)(const Told<What>&));
   void flush();
   void end();
 
