--- a/src/program/environment.cpp
+++ b/src/program/environment.cpp
@@ -24,7 +24,7 @@
     std::size_t count = 0, objects = 0;
     value.each_item([&](const Json& v) {
       if (v.is_object()) ++objects, put(pairs, inside + std::to_string(count), v);
-      else joined += (count > 0 ? "," : "") + plain(v);
+      else joined.append(count > 0 ? "," : "").append(plain(v));
       ++count;
     });
     if (objects > 0) pairs.put(inside + "count", std::to_string(count));
