Tests of the parsers and of the router against stand-ins on loopback; watch asks from the known list

Seen by the new test of the first watch: it asked without a version, so discovery sent the whole list at each start. Service::follow_list ran inside the module's started(), before the known list was read; it is now put off until after the call.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -23,13 +23,13 @@
   Span host_idle = Span::s(24);        // kept connections are closed before the host does so
   Span request_read = Span::s(10);     // from a request's first byte to its last
   Span answer_written = Span::s(10);   // a client that does not read its answer
-  Span discovery_silence = Span::s(5);  // a line at least comes every 2 s
+  Span discovery_silence = Span::ms(4500);  // a line at least comes every 2 s
   Span desk_connect = Span::s(1);
   Span desk_silence = Span::ms(3500);  // a ping comes every second
   Span desk_answer = Span::s(2);
   Span retry_first = Span::ms(100), retry_longest = Span::s(2);  // of the release desk's connection
   Span stop_accepting = Span::ms(650);  // after the signal to stop new connections go on coming for a while
-  Span stop_at_latest = Span::s(6);     // then the program ends whatever is left
+  Span stop_at_latest = Span::ms(3600);  // then the program ends whatever is left; more for longer client timeouts
 };
 
 }  // namespace ashbeam
--- a/src/program/environment.cpp
+++ b/src/program/environment.cpp
@@ -93,6 +93,9 @@
   limits.connect = door.connect;
   limits.host_idle = std::min(limits.host_idle, door.host_idle * 0.8);
   limits.desk_answer = terms.answer_wait;
+  for (const PathGroup& g : terms.path_groups) {
+    limits.stop_at_latest = std::max(limits.stop_at_latest, g.client_timeout + Span::ms(600));
+  }
   return limits;
 }
 
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -238,7 +238,10 @@
 
 // ---- The list ----
 
-void Service::follow_list() { discovery_.follow(); }
+// After the call at hand: at the start the known list is read first, and the watch asks from there.
+void Service::follow_list() {
+  loop_.later([this] { discovery_.follow(); });
+}
 
 void Service::listed(bool whole, const Json& entries) {
   tell([&](Router& r) { r.list_begin(whole); });
--- /dev/null
+++ b/tests/router_test.cpp
@@ -0,0 +1,546 @@
+// The router on loopback: one Service on a thread of its own, and stand-ins for clients, hosts, discovery
+// and the release desk in the test itself, on plain blocking sockets.
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <thread>
+
+#include "helpers.hpp"
+#include "program/environment.hpp"
+#include "routing/service.hpp"
+
+namespace ashbeam {
+namespace {
+
+// One stream; what does not come within the wait counts as nothing.
+struct Stream {
+  int fd = -1;
+  std::string held;
+  explicit Stream(int descriptor) : fd(descriptor) {}
+  Stream(Stream&& other) noexcept : fd(std::exchange(other.fd, -1)), held(std::move(other.held)) {}
+  ~Stream() { shut(); }
+  void shut() {
+    if (fd >= 0) ::close(std::exchange(fd, -1));
+  }
+  void reset() {  // breaks the connection instead of ending it
+    const linger now{1, 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    shut();
+  }
+  void say(const std::string& text) { ::send(fd, text.data(), text.size(), MSG_NOSIGNAL); }
+  bool fill(int wait_ms) {  // false at the end or when nothing comes
+    pollfd in{fd, POLLIN, 0};
+    char some[4096];
+    const auto n = ::poll(&in, 1, wait_ms) == 1 ? ::recv(fd, some, sizeof some, 0) : -1;
+    if (n > 0) held.append(some, static_cast<std::size_t>(n));
+    return n > 0;
+  }
+  bool ended(int wait_ms = 1500) {  // by the other side
+    pollfd in{fd, POLLIN, 0};
+    char one;
+    return ::poll(&in, 1, wait_ms) == 1 && ::recv(fd, &one, 1, MSG_PEEK) <= 0;
+  }
+  std::string line(int wait_ms = 1500) {
+    std::size_t end;
+    while ((end = held.find('\n')) == std::string::npos) {
+      if (!fill(wait_ms)) return "";
+    }
+    const std::string one = held.substr(0, end);
+    held.erase(0, end + 1);
+    return one;
+  }
+  // A head, and a body by length; empty where none comes whole.
+  std::string message(int wait_ms = 1500) {
+    std::size_t end;
+    while ((end = held.find("\r\n\r\n")) == std::string::npos) {
+      if (!fill(wait_ms)) return "";
+    }
+    const std::size_t at = held.find("Content-Length: ");
+    const std::size_t whole = end + 4 + (at < end ? std::stoul(held.substr(at + 16)) : 0);
+    while (held.size() < whole) {
+      if (!fill(wait_ms)) return "";
+    }
+    const std::string one = held.substr(0, whole);
+    held.erase(0, whole);
+    return one;
+  }
+};
+
+struct Door {  // a stand-in's address
+  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  Door() {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+    EXPECT_EQ(::listen(fd, 64), 0);
+  }
+  ~Door() { ::close(fd); }
+  std::uint16_t port() const {
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+    return ntohs(at.sin_port);
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+  bool asked(int wait_ms) const {
+    pollfd in{fd, POLLIN, 0};
+    return ::poll(&in, 1, wait_ms) == 1;
+  }
+  Stream take(int wait_ms = 1500) const { return Stream(asked(wait_ms) ? ::accept(fd, nullptr, nullptr) : -1); }
+};
+
+const char* const kOk = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Kept: 1\r\n\r\nbody";
+std::string status_line(const std::string& status, const std::string& fields = "") {
+  return "HTTP/1.1 " + status + " X\r\n" + fields + "Content-Length: 0\r\n\r\n";
+}
+std::string get(unsigned left_ms = 1500, const std::string& fields = "") {
+  return "GET /look/1?q HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: a1\r\nX-Time-Left-Ms: " + std::to_string(left_ms) +
+         "\r\n" + fields + "\r\n";
+}
+std::string post(const std::string& group, unsigned left_ms = 1500) {
+  return "POST /" + group + " HTTP/1.1\r\nX-Correlation-Id: b2\r\nIdempotency-Key: k\r\nX-Time-Left-Ms: " +
+         std::to_string(left_ms) + "\r\nContent-Length: 3\r\n\r\nabc";
+}
+unsigned status_of(const std::string& answer) {
+  return answer.size() > 12 ? static_cast<unsigned>(std::stoul(answer.substr(9, 3))) : 0;
+}
+
+class RouterTest : public testing::Test {
+ protected:
+  static constexpr int kHosts = 3;
+  Door hosts_[kHosts], discovery_, desk_;
+  Limits limits_;
+  Terms terms_ = usual_terms();
+  DoorTerms door_{{{true, false}, {false, true}, {false, false}},
+                  {"look", "book", "pay"},
+                  {"shop"},
+                  {"a", "b"},
+                  {"m"},
+                  {"active"},
+                  Span::ms(250),
+                  Span::s(20)};
+  Loop loop_;
+  std::unique_ptr<Service> service_;
+  std::thread thread_;
+  std::atomic<bool> stopping_ = false, wound_down_ = false;
+  std::vector<std::string> notes_;  // read once the thread has ended
+
+  std::string entry(int host, const std::string& state = "up", int build = 1, const std::string& at = "") const {
+    return R"({"uid":"h)" + std::to_string(host) + R"(","endpoint":")" + (at.empty() ? hosts_[host].address() : at) +
+           R"(","az":"a","model":"m","pod_group":1,"state":")" + state +
+           R"(","capacity_hint":1.0,"boot_ms":0,"release":)" + std::to_string(build) + "}";
+  }
+  static std::string list(const std::string& entries, int rev, bool all = false) {
+    return R"({"rev":)" + std::to_string(rev) + R"(,"all":)" + (all ? "true" : "false") + R"(,"targets":[)" + entries + "]}";
+  }
+  std::string all_hosts() const { return list(entry(0) + "," + entry(1) + "," + entry(2), 41, true); }
+  void SetUp() override {
+    terms_.must_ask = true;
+    terms_.may_copy = false;
+    terms_.routers = 1;
+  }
+  void begin(const std::string& known) {
+    const std::string news = R"({"image":1,"ring":0,"progress":"released","ceiling":1,"lag_ms":99000})";
+    service_ = std::make_unique<Service>(
+        loop_, limits_, terms_, door_,
+        Site{"n", "127.0.0.1:0", discovery_.address(), desk_.address(), 7, known, news},
+        [this](std::string_view line) { notes_.emplace_back(line); });
+    service_->start();
+    thread_ = std::thread([this] {
+      Timer look(loop_, [&] {
+        if (stopping_) service_->wind_down([this] { wound_down_ = true, loop_.stop(); });
+        look.in(Span::ms(5));
+      });
+      look.in(Span());
+      loop_.run();
+    });
+  }
+  void TearDown() override {
+    stopping_ = true;
+    if (thread_.joinable()) thread_.join();
+  }
+  Stream client() const {
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(service_->port());
+    ::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
+    return Stream(fd);
+  }
+  std::string ask(const std::string& request) const {
+    Stream c = client();
+    c.say(request);
+    return c.message(3000);
+  }
+  // The next forward, at whichever host; the fd is -1 where none comes.
+  Stream forward(int wait_ms = 1000) const {
+    pollfd in[kHosts];
+    for (int i = 0; i < kHosts; ++i) in[i] = {hosts_[i].fd, POLLIN, 0};
+    ::poll(in, kHosts, wait_ms);
+    for (int i = 0; i < kHosts; ++i) {
+      if (in[i].revents != 0) return hosts_[i].take();
+    }
+    return Stream(-1);
+  }
+};
+
+TEST_F(RouterTest, AHitGoesOnUnchangedAndItsAnswerComesBack) {
+  begin(all_hosts());
+  Stream c = client();
+  for (const int round : {1, 2}) {  // the second on kept connections
+    const std::string request = get(900, "X-Account: shop\r\nX-Odd: \t v \r\nConnection: keep-alive, x-own\r\nX-Own: 1\r\n");
+    for (std::size_t at = 0; at < request.size(); at += 40) c.say(request.substr(at, 40)), usleep(300);
+    Stream h = forward();
+    const std::string got = h.message();
+    EXPECT_TRUE(got.starts_with("GET /look/1?q HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: a1\r\n")) << got;
+    EXPECT_NE(got.find("X-Odd: \t v \r\n"), std::string::npos);
+    EXPECT_EQ(got.find("X-Own"), std::string::npos);
+    const auto left = std::stoul(got.substr(got.find("X-Time-Left-Ms: ") + 16));
+    EXPECT_TRUE(left > 700 && left <= 900) << left;
+    h.say(kOk);
+    const std::string answer = c.message();
+    EXPECT_EQ(status_of(answer), 200U) << round;
+    EXPECT_TRUE(answer.ends_with("\r\n\r\nbody"));
+    EXPECT_NE(answer.find("X-Kept: 1\r\n"), std::string::npos);
+    h.say("x");  // unasked: the connection is not used again
+    EXPECT_TRUE(h.ended());
+  }
+}
+
+TEST_F(RouterTest, ConnectionsAreKeptAndNotUsedPastTheirHost) {
+  begin(list(entry(0), 41, true));
+  Stream d = discovery_.take();
+  EXPECT_TRUE(d.message().starts_with("GET /registry/instances?follow=1&since=41 HTTP/1.1\r\n"));
+  Stream c = client();
+  c.say(get());
+  Stream h = forward();
+  for (int i = 0; i < 3; ++i) {
+    ASSERT_FALSE(h.message().empty()) << i;
+    h.say(kOk);
+    ASSERT_EQ(status_of(c.message()), 200U);
+    if (i < 2) c.say(get());
+  }
+  const std::string change = list(entry(0, "up", 2), 42) + "\n";  // the same id, another build
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", change.size());
+  d.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(size) + change.substr(0, 9));
+  usleep(20000);
+  d.say(change.substr(9) + "\r\n1\r\n\n\r\n");
+  EXPECT_TRUE(h.ended());
+}
+
+// Each row of the outcome table, at a path group that may run again and at one that must not.
+TEST_F(RouterTest, OutcomesDecideWhetherAHitMayRunAgain) {
+  begin(all_hosts());
+  struct Row {
+    const char* what;
+    std::string answer;  // of the first host; "reset" and "end" break the connection
+    bool ran;
+  } const rows[] = {
+      {"an error", status_line("500"), true},
+      {"turned away", status_line("503", "X-Unprocessed: 1\r\n"), false},
+      {"over already", status_line("504", "X-Unprocessed: 1\r\n"), false},
+      {"busy, perhaps run", status_line("503"), true},
+      {"no such status", status_line("302"), true},
+      {"broken", "reset", true},
+      {"ended half way", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true},
+      {"not HTTP", "garbage\r\n\r\n", true},
+      {"too long", "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", true},
+  };
+  for (const Row& row : rows) {
+    for (const bool again : {true, false}) {
+      Stream c = client();
+      c.say(again ? get() : post("pay"));
+      Stream first = forward();
+      ASSERT_FALSE(first.message().empty()) << row.what;
+      if (row.answer != "reset") first.say(row.answer);
+      if (row.answer == "reset") first.reset();
+      else first.shut();
+      Stream second = forward(again || !row.ran ? 1000 : 60);
+      const bool came = !second.message().empty();
+      EXPECT_EQ(came, again || !row.ran) << row.what;
+      if (came) second.say(kOk);
+      EXPECT_EQ(status_of(c.message()), came ? 200U : 502U) << row.what << again;
+    }
+  }
+}
+
+TEST_F(RouterTest, AHostThatRefusesOrNeverAcceptsHasNotRunTheHit) {
+  Door full;  // its backlog is full: further connections never come up
+  std::vector<int> fill;
+  ::listen(full.fd, 0);
+  for (int i = 0; i < 4; ++i) {
+    fill.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    ::getsockname(full.fd, reinterpret_cast<sockaddr*>(&at), &size);
+    ::connect(fill.back(), reinterpret_cast<sockaddr*>(&at), size);
+  }
+  const std::string closed = [] { return Door().address(); }();
+  begin(list(entry(0, "up", 1, closed) + "," + entry(1, "up", 1, full.address()) + "," + entry(2), 41, true));
+  for (int i = 0; i < 6; ++i) {
+    Stream c = client();
+    c.say(post("pay"));
+    Stream h = forward(1500);
+    ASSERT_FALSE(h.message().empty());
+    h.say(kOk);
+    EXPECT_EQ(status_of(c.message()), 200U);
+  }
+  for (const int fd : fill) ::close(fd);
+}
+
+TEST_F(RouterTest, SilenceIsAnErrorBeforeTheClientsTimeIsUp) {
+  begin(list(entry(0), 41, true));
+  Stream c = client();
+  c.say(post("pay", 200));
+  Stream h = forward();
+  EXPECT_FALSE(h.message().empty());
+  const Instant asked = loop_.now();
+  EXPECT_EQ(status_of(c.message()), 502U);
+  EXPECT_LT(loop_.now() - asked, Span::ms(450));  // 200, and what a busy machine may add
+  EXPECT_TRUE(h.ended());  // given up by closing it
+}
+
+TEST_F(RouterTest, AClientThatLeavesHasItsForwardCalledOff) {
+  begin(list(entry(0), 41, true));
+  Stream c = client();
+  c.say(get());
+  Stream h = forward();
+  EXPECT_FALSE(h.message().empty());
+  c.shut();
+  EXPECT_TRUE(h.ended());
+}
+
+TEST_F(RouterTest, BadRequestsAreAnsweredAndReachNoHost) {
+  begin(all_hosts());
+  const std::string head = " HTTP/1.1\r\nX-Correlation-Id: a\r\nX-Time-Left-Ms: 500\r\n";
+  const std::pair<std::string, unsigned> rows[] = {
+      {"GET /nowhere" + head + "\r\n", 404},
+      {"GET /lookout" + head + "\r\n", 404},
+      {"POST /look" + head + "Content-Length: 0\r\n\r\n", 405},
+      {"GET /pay" + head + "\r\n", 405},
+      {"POST /book" + head + "Content-Length: 0\r\n\r\n", 400},  // no key
+      {"GET /look HTTP/1.1\r\nX-Time-Left-Ms: 500\r\n\r\n", 400},
+      {"GET /look HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n", 400},
+      {"GET /look HTTP/1.1\r\nX-Correlation-Id: a\r\nX-Time-Left-Ms: soon\r\n\r\n", 400},
+      {"POST /pay" + head + "Content-Length: 70000\r\n\r\n", 413},
+      {"POST /pay" + head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
+      {"GET /look" + head + "X: " + std::string(20000, 'x') + "\r\n\r\n", 431},
+      {"GET /look HTTP/1.0\r\n\r\n", 505},
+      {"\x16\x03\x01\r\n\r\n", 400},
+      {"GET /health/ready HTTP/1.1\r\n\r\n", 200},
+      {"POST /health/ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405},
+  };
+  for (const auto& [request, status] : rows) EXPECT_EQ(status_of(ask(request)), status) << request.substr(0, 60);
+  Stream half = client();
+  half.say("POST /pay" + head + "Content-Length: 9\r\n\r\nhalf");
+  half.shut();
+  EXPECT_EQ(forward(50).fd, -1);
+}
+
+TEST_F(RouterTest, ABodyOfChunksGoesOnAsItCame) {
+  begin(all_hosts());
+  Stream c = client();
+  c.say("POST /book HTTP/1.1\r\nX-Correlation-Id: a\r\nIdempotency-Key: k\r\nX-Time-Left-Ms: 900\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+  Stream h = forward();
+  EXPECT_NE(h.message().find("Transfer-Encoding: chunked\r\n"), std::string::npos);
+  h.held.size() < 12 && h.fill(500);
+  EXPECT_EQ(h.held, "2\r\nab\r\n0\r\n\r\n");
+  h.say("HTTP/1.1 200 OK\r\n\r\nuntil the end");
+  h.shut();
+  const std::string answer = c.message();
+  EXPECT_TRUE(answer.ends_with("until the end"));
+}
+
+TEST_F(RouterTest, AWatchThatFailsIsAskedForAgain) {
+  limits_.discovery_silence = Span::ms(150);
+  begin(all_hosts());
+  const std::string good = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& answer :
+       {status_line("503"), std::string("nonsense\r\n\r\n"), good + "0\r\n\r\n", good + "3\r\n{]\n\r\n", good + "z", good}) {
+    Stream d = discovery_.take(3000);
+    ASSERT_FALSE(d.message().empty());
+    d.say(answer);
+    EXPECT_TRUE(d.ended()) << answer;
+  }
+}
+
+TEST_F(RouterTest, WhatIsOddInListAndNewsIsPassedOver) {
+  begin(all_hosts());
+  Stream d = discovery_.take(), s = desk_.take();
+  d.say("HTTP/1.1 200 OK\r\n\r\n" + list(R"({"uid":"x","state":"melted"},{"state":"up"},7,{"uid":"h9","state":"up"})", 42) + "\n");
+  EXPECT_EQ(s.line(), R"({"jsonrpc":"2.0","id":1,"method":"subscribe"})");
+  s.say("{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":true}\n{\"method\":\"SAMPLE\",\"params\":{\"type\":\"none\"}}\n"
+        "{\"method\":\"ROLLOUT\",\"params\":{\"image\":1,\"progress\":\"lost\"}}\n{\"method\":\"DISPUTE\",\"params\":"
+        "{\"host\":\"h1\",\"type\":\"look\",\"lag_ms\":5}}\n{\"method\":\"NEW\",\"params\":{}}\n{\"method\":\"ping\"}\n");
+  Stream c = client();
+  c.say(get());
+  Stream h = forward();
+  h.say(kOk);
+  EXPECT_EQ(status_of(c.message()), 200U);
+}
+
+TEST_F(RouterTest, ToldToStopItAnswersWhatComesAndEnds) {
+  limits_.stop_accepting = Span::ms(150);
+  begin(list(entry(0), 41, true));
+  Stream idle = client(), busy = client();
+  idle.say("GET /health/ready HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(status_of(idle.message()), 200U);
+  busy.say(get());
+  Stream h = forward();
+  EXPECT_FALSE(h.message().empty());
+  stopping_ = true;
+  EXPECT_TRUE(idle.ended());
+  EXPECT_EQ(status_of(ask("GET /health/ready HTTP/1.1\r\n\r\n")), 503U);
+  Stream late = client();  // comes after the signal and is served all the same
+  late.say(get());
+  usleep(250000);
+  EXPECT_FALSE(wound_down_);
+  h.say(kOk);
+  const std::string answer = busy.message();
+  EXPECT_EQ(status_of(answer), 200U);
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+  Stream h2 = forward();
+  h2.say(kOk);
+  EXPECT_EQ(status_of(late.message()), 200U);
+  thread_.join();
+  EXPECT_TRUE(wound_down_);
+}
+
+TEST_F(RouterTest, AtAFullTableIdleClientsMakeRoomAndHostsAreNotOverrun) {
+  limits_.clients = 4;
+  limits_.to_hosts = 2;
+  begin(all_hosts());
+  std::vector<Stream> busy;
+  for (int i = 0; i < 3; ++i) {
+    busy.push_back(client());
+    busy.back().say(get(400));
+  }
+  Stream a = forward(), b = forward();
+  EXPECT_EQ(forward(100).fd, -1);  // the third gets no connection, and its answer soon
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(status_of(ask("GET /health/ready HTTP/1.1\r\n\r\n")), 200U);
+  unsigned answered = 0;
+  for (Stream& c : busy) answered += status_of(c.message()) != 0;
+  EXPECT_EQ(answered, 3U);
+}
+
+// ---- The release desk by itself ----
+
+struct DeskTest : testing::Test {
+  Door door_;
+  Limits limits_;
+  Loop loop_;
+  std::vector<Answer> answers_;
+  std::vector<std::string> news_;
+  void run(const std::function<void(Desk&)>& first, const std::function<bool()>& until) {
+    Desk desk(loop_, limits_, door_.address(), 3,
+              [this](const std::string& method, const Json& params) { news_.push_back(method + std::string(params.raw())); },
+              [this](Answer a, const Json*) { answers_.push_back(a); }, [](const char*) {});
+    desk.start();
+    int rounds = 0;
+    Timer look(loop_, [&] {
+      if (++rounds == 2) first(desk);
+      if (until() || rounds > 400) loop_.stop();
+      look.in(Span::ms(5));
+    });
+    look.in(Span());
+    loop_.run();
+  }
+};
+
+TEST_F(DeskTest, EachAnswerToAVoteIsTold) {
+  limits_.desk_answer = Span::ms(150);
+  std::thread desk([this] {
+    Stream s = door_.take();
+    std::string calls;
+    for (int i = 0; i < 7; ++i) calls += s.line() + "\n";
+    EXPECT_NE(calls.find(R"("id":2,"method":"release.vote","params":{"image":42,"ring":1,"opinion":"promote"}})"),
+              std::string::npos);
+    const auto error = [](int id, const char* words) {
+      return "{\"id\":" + std::to_string(id) + ",\"error\":{\"code\":-32602,\"message\":\"" + words + "\"}}\n";
+    };
+    const std::string text = "{\"id\":1,\"result\":true}\n{\"id\":2,\"result\":{\"image\":42}}\n" + error(3, "Throttling") +
+                             "{\"method\":\"ROLLOUT\",\"params\":{\"image\":42}}\n" + error(4, "ConditionFailed") +
+                             error(5, "InternalFailure") + error(6, "ValidationError");
+    for (std::size_t at = 0; at < text.size(); at += 37) s.say(text.substr(at, 37)), usleep(500);
+    usleep(200000);  // the seventh call gets no answer in time, and then one that is not waited for any more
+    s.say("{\"id\":7,\"result\":{}}\n{\"method\":\"ping\"}\n");
+    usleep(50000);
+  });
+  run([](Desk& d) { for (int i = 0; i < 6; ++i) d.vote(42, 1, Vote::kOn); },
+      [this] { return answers_.size() >= 6; });
+  desk.join();
+  EXPECT_EQ(answers_, (std::vector<Answer>{Answer::kTaken, Answer::kFull, Answer::kVoid, Answer::kFailed, Answer::kFailed,
+                                           Answer::kUnknown}));
+  EXPECT_EQ(news_, std::vector<std::string>{"ROLLOUT{\"image\":42}"});
+}
+
+TEST_F(DeskTest, ABrokenSilentOrUnreadableDeskIsOpenedAnew) {
+  limits_.desk_silence = Span::ms(100);
+  limits_.retry_first = Span::ms(10);
+  std::thread desk([this] {
+    for (int i = 0; i < 4; ++i) {
+      Stream s = door_.take();
+      EXPECT_NE(s.line().find("subscribe"), std::string::npos);
+      if (i == 1) s.say("{]\n");
+      if (i == 2) s.say(std::string(9000, 'x'));
+      if (i == 0) EXPECT_NE(s.line().find("abort"), std::string::npos), s.reset();
+      else if (i < 3) EXPECT_TRUE(s.ended()) << i;
+      else s.say("{\"method\":\"NEWS\",\"params\":{}}\n"), usleep(20000);
+    }
+  });
+  run([](Desk& d) { d.vote(42, 1, Vote::kBack); }, [this] { return !news_.empty(); });
+  desk.join();
+  EXPECT_EQ(answers_, std::vector<Answer>{Answer::kUnknown});  // written, then broken: it may count
+  EXPECT_EQ(news_.size(), 1U);
+}
+
+TEST_F(DeskTest, AVoteThatIsNeverWrittenHasFailed) {
+  ::close(std::exchange(door_.fd, ::socket(AF_INET, SOCK_STREAM, 0)));  // nobody listens
+  run([](Desk& d) { d.vote(42, 1, Vote::kOn); }, [this] { return !answers_.empty(); });
+  EXPECT_EQ(answers_, std::vector<Answer>{Answer::kFailed});
+}
+
+// ---- The start ----
+
+TEST(Start, WhatIsMissingIsNamed) {
+  const auto complaint = [](const std::string& text) {
+    try {
+      read_terms(start_from(text, {}).settings);
+    } catch (const std::runtime_error& e) {
+      return std::string(e.what());
+    }
+    return std::string();
+  };
+  EXPECT_NE(complaint("{").find("not a JSON object"), std::string::npos);
+  EXPECT_NE(complaint("{}").find("'settings'"), std::string::npos);
+  EXPECT_NE(complaint(R"({"settings":{}})").find("'release_api.address'"), std::string::npos);
+  const std::string start = R"({"seed":"8c1f","release_api":{"address":"127.0.0.1:1"},"settings":)";
+  EXPECT_NE(complaint(start + "{}}").find("'grades.count'"), std::string::npos);
+  EXPECT_NE(complaint(start + R"({"grades":[{"effect":"odd"}]}})").find("effect"), std::string::npos);
+  try {
+    read_start([](const char*) -> const char* { return nullptr; });
+    FAIL();
+  } catch (const StartError& e) {
+    EXPECT_STREQ(e.what(), "PROXY_NAME is not set");
+  }
+}
+
+TEST(Start, NestedSettingsBecomePaths) {
+  const Pairs pairs = pairs_of(*Json::parse(
+      R"({"tickMs":5.0,"allowed":{"cancel":true},"zones":["a b","c"],"grades":[{"name":"x","worth":2}],"no":[]})"));
+  EXPECT_EQ(pairs.number("tickMs"), 5.0);
+  EXPECT_TRUE(pairs.flag("allowed.cancel"));
+  EXPECT_EQ(pairs.words("zones"), (std::vector<std::string>{"a_b", "c"}));
+  EXPECT_EQ(pairs.count("grades.count"), 1U);
+  EXPECT_EQ(pairs.word("grades.0.name"), "x");
+  EXPECT_TRUE(pairs.numbers("no").empty());
+}
+
+}  // namespace
+}  // namespace ashbeam
