--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -38,6 +38,7 @@
 
   Timer signals(loop, [&] {
     if (stop_asked != 0) {
+      stop_asked = 0;
       spdlog::info("told to stop");
       service.wind_down([&] { loop.stop(); });
     }
