--- a/src/program/environment.cpp
+++ b/src/program/environment.cpp
@@ -11,7 +11,8 @@
 
 std::string plain(const Json& value) {  // as the settings' text has it
   std::string text = value.text().value_or(std::string(value.raw()));
-  std::replace_if(text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
   return text;
 }
 
@@ -38,7 +39,8 @@
   const std::string text = given ? given->text().value_or(std::string(given->raw())) : "";
   std::uint64_t seed = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
-  if (error != std::errc() || end != text.data() + text.size()) throw StartError("configuration: 'seed' is no seed");
+  if (error != std::errc() || end != text.data() + text.size())
+    throw StartError("configuration: 'seed' is no seed");
   return seed;
 }
 
@@ -53,9 +55,11 @@
 Start start_from(std::string_view configuration, Site site) {
   const auto all = Json::parse(configuration);
   if (!all || !all->is_object()) throw StartError("configuration: not a JSON object");
-  const auto settings = all->member("settings"), limits = all->member("limits"), desk = all->member("release_api");
+  const auto settings = all->member("settings"), limits = all->member("limits"),
+             desk = all->member("release_api");
   if (!settings || !settings->is_object()) throw StartError("configuration: 'settings' is missing");
-  if (!desk || desk->text("address").empty()) throw StartError("configuration: 'release_api.address' is missing");
+  if (!desk || desk->text("address").empty())
+    throw StartError("configuration: 'release_api.address' is missing");
   Start start;
   site.seed = seed_of(all->member("seed"));
   site.desk = desk->text("address");
@@ -63,7 +67,8 @@
   if (const auto known = all->member("known")) site.known = known->raw();
   start.site = std::move(site);
   start.settings = pairs_of(*settings);
-  if (limits) start.sockets = static_cast<std::size_t>(std::clamp(limits->number("sockets", 1024), 64.0, 1e6));
+  if (limits)
+    start.sockets = static_cast<std::size_t>(std::clamp(limits->number("sockets", 1024), 64.0, 1e6));
   return start;
 }
 
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -31,7 +31,8 @@
   const Limits limits = limits_for(start.sockets, door, terms);
 
   Loop loop;
-  Service service(loop, limits, terms, door, start.site, [](std::string_view line) { spdlog::info("{}", line); });
+  Service service(loop, limits, terms, door, start.site,
+                  [](std::string_view line) { spdlog::info("{}", line); });
   service.start();
   spdlog::info("{} serves at {}: {} path groups, router {} of {}", start.site.name, start.site.listen,
                terms.path_groups.size(), terms.me, terms.routers);
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -16,7 +16,9 @@
          std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
 }
 
-bool token(std::string_view text) { return !text.empty() && std::all_of(text.begin(), text.end(), token_char); }
+bool token(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), token_char);
+}
 
 int hex_digit(char c) {
   if (c >= '0' && c <= '9') return c - '0';
@@ -27,7 +29,8 @@
 }  // namespace
 
 bool same_name(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](char x, char y) { return lower(x) == lower(y); });
 }
 
 std::string_view trimmed(std::string_view text) {
@@ -267,7 +270,8 @@
   return Got::kWhole;
 }
 
-// Where the message's end could be read in two ways, it is refused: what a host would make of it is not known.
+// Where the message's end could be read in two ways, it is refused: what a host would make of it is not
+// known.
 unsigned Messages::plan_body() {
   if (side_ == Side::kRequests) {
     if (!token(head_.word(0)) || head_.word(1).empty() || head_.word(1)[0] != '/') return 400;
@@ -314,19 +318,32 @@
 
 std::string_view reason(unsigned status) {
   switch (status) {
-    case 200: return "OK";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 413: return "Content Too Large";
-    case 429: return "Too Many Requests";
-    case 431: return "Request Header Fields Too Large";
-    case 500: return "Internal Server Error";
-    case 501: return "Not Implemented";
-    case 502: return "Bad Gateway";
-    case 503: return "Service Unavailable";
-    case 505: return "HTTP Version Not Supported";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 501:
+      return "Not Implemented";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 505:
+      return "HTTP Version Not Supported";
+    default:
+      return "Status";
   }
 }
 
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -59,7 +59,18 @@
 
  private:
   enum class Kind { kLength, kChunks, kUntilEnd };
-  enum class At { kSize, kExtension, kSizeEnd, kData, kDataEnd1, kDataEnd2, kTrailer, kTrailerLine, kTrailerEnd, kLastEnd };
+  enum class At {
+    kSize,
+    kExtension,
+    kSizeEnd,
+    kData,
+    kDataEnd1,
+    kDataEnd2,
+    kTrailer,
+    kTrailerLine,
+    kTrailerEnd,
+    kLastEnd
+  };
   void begin(Kind kind, std::uint64_t left);
   Got chunks(std::string_view bytes, std::size_t& used, std::string* plain);
   std::size_t most_;
--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr Span kLinger = Span::s(1);  // for a client that still sends what was refused
+constexpr Span kLinger = Span::s(1);     // for a client that still sends what was refused
+constexpr Span kSettle = Span::ms(200);  // a connection this young is about to bring its first request
 
 }  // namespace
 
@@ -49,7 +50,7 @@
 void Caller::answer(unsigned status, std::string_view fields, std::string_view body) {
   if (at_ != At::kAnswering) return;
   at_ = At::kWriting;
-  last_ = last_ || callers_.winding_down_;
+  last_ = last_ || callers_.winding_down_ || callers_.full();
   std::string bytes = "HTTP/1.1 " + std::to_string(status) + " ";
   bytes.append(http::reason(status)).append("\r\n").append(fields);
   if (last_) bytes += "Connection: close\r\n";
@@ -98,13 +99,15 @@
 
 void Callers::accepted(int fd) {
   callers_.push_back(std::make_unique<Caller>(*this, fd, callers_.size()));
-  if (callers_.size() >= limits_.clients && !close_idlest()) listener_.pause(true);
+  // While it is full, each answer ends its connection: what waits outside gets its turn.
+  if (full() && !close_idlest(loop_.now() - kSettle)) listener_.pause(true);
 }
 
-bool Callers::close_idlest() {
+bool Callers::close_idlest(Instant idle_since) {
   Caller* idlest = nullptr;
   for (const auto& c : callers_) {
     if (c->at_ != Caller::At::kReading || c->requests_.begun() || !c->connection_.quiet()) continue;
+    if (c->since_ > idle_since) continue;
     if (!idlest || c->since_ < idlest->since_) idlest = c.get();
   }
   if (idlest) remove(idlest);
@@ -124,20 +127,19 @@
 
 void Callers::wind_down() {
   winding_down_ = true;
-  while (close_idlest()) {
+  while (close_idlest(loop_.now())) {
   }
 }
 
 void Callers::close_door() {
+  listener_.pause(false);
   listener_.accept_waiting();
   listener_.close();
 }
 
-bool Callers::all_idle() const {
-  return std::all_of(callers_.begin(), callers_.end(), [](const auto& c) {
-    return c->at_ == Caller::At::kLingering ||
-           (c->at_ == Caller::At::kReading && !c->requests_.begun() && c->connection_.unread().empty());
-  });
+bool Callers::all_answered() const {
+  return std::all_of(callers_.begin(), callers_.end(),
+                     [](const auto& c) { return c->at_ == Caller::At::kLingering; });
 }
 
 }  // namespace ashbeam
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -56,14 +56,15 @@
   std::size_t connections() const { return callers_.size(); }
   // From now on each answer is the last of its connection, and connections between requests are closed.
   void wind_down();
-  void close_door();  // after all that the machine has accepted is taken
-  bool all_idle() const;  // nothing is read in part, waits for its answer or is being written
+  void close_door();          // after all that the machine has accepted is taken
+  bool all_answered() const;  // of those that wind_down has left
 
  private:
   friend class Caller;
   void accepted(int fd);
   void remove(Caller* caller);
-  bool close_idlest();
+  bool full() const { return callers_.size() >= limits_.clients; }
+  bool close_idlest(Instant idle_since);  // of those that are idle since then or longer
   Loop& loop_;
   const Limits& limits_;
   Came came_;
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -82,7 +82,8 @@
   connection_->take(bytes.size());
   silence_.in(limits_.desk_silence);
   bool good = true;
-  good = lines_.feed(bytes, [&](std::string_view text) { good = good && (text.empty() || line(text)); }) && good;
+  good =
+      lines_.feed(bytes, [&](std::string_view text) { good = good && (text.empty() || line(text)); }) && good;
   if (!good) lost("sends what can't be read");
 }
 
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -20,8 +20,8 @@
   using News = std::function<void(const std::string& method, const Json& params)>;
   using Answered = std::function<void(Answer, const Json* state)>;  // the state comes with kTaken
   using Note = std::function<void(const char* what)>;
-  Desk(Loop& loop, const Limits& limits, std::string address, std::uint64_t seed, News news, Answered answered,
-       Note note);
+  Desk(Loop& loop, const Limits& limits, std::string address, std::uint64_t seed, News news,
+       Answered answered, Note note);
   void start() { open(); }
   void vote(BuildId build, unsigned stage, Vote vote);  // `answered` comes after this returns
 
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -18,7 +18,8 @@
 
 // Names in the settings' lists stand with these characters replaced.
 std::string listed_name(std::string name) {
-  std::replace_if(name.begin(), name.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  std::replace_if(
+      name.begin(), name.end(), [](char c) { return c == ' ' || c == ','; }, '_');
   return name;
 }
 
@@ -61,15 +62,18 @@
                  const Site& site, Note note)
     : loop_(loop), limits_(limits), door_(door), site_(site), note_(std::move(note)),
       max_forwards_(terms.max_forwards),
-      callers_(loop, limits, site.listen, [this](Caller& c, const http::Messages& m) { came(c, m); },
-               [this](Caller& c) { left(c); }, [this](Caller& c) { overdue(c.hit); }),
+      callers_(
+          loop, limits, site.listen, [this](Caller& c, const http::Messages& m) { came(c, m); },
+          [this](Caller& c) { left(c); }, [this](Caller& c) { overdue(c.hit); }),
       pools_(loop, limits, std::min(limits.connect, terms.drain_grace * 0.5)),
-      discovery_(loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
-                 [this](const char* why) { list_lost(why); }),
-      desk_(loop, limits, site.desk, site.seed,
-            [this](const std::string& method, const Json& params) { desk_said(method, params); },
-            [this](Answer answer, const Json* state) { vote_answered(answer, state); },
-            [this](const char* what) { note_(std::string("desk: connection ") + what); }),
+      discovery_(
+          loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
+          [this](const char* why) { list_lost(why); }),
+      desk_(
+          loop, limits, site.desk, site.seed,
+          [this](const std::string& method, const Json& params) { desk_said(method, params); },
+          [this](Answer answer, const Json* state) { vote_answered(answer, state); },
+          [this](const char* what) { note_(std::string("desk: connection ") + what); }),
       stop_(loop, [this] { check_wound_down(); }), module_(make_router(terms, site.seed, *this)) {}
 
 Service::~Service() = default;
@@ -230,10 +234,11 @@
 void Service::ask_load(HostIndex host) {
   const std::string path = door_.report_columns.empty() ? "/health/live" : "/stats";
   const std::string bytes = "GET " + path + " HTTP/1.1\r\nHost: " + hosts_[host].address + "\r\n\r\n";
-  pools_.send(host, bytes, loop_.now() + limits_.connect, [this, host](Result result, const http::Messages* a) {
-    const auto told = report(a);
-    tell([&](Router& r) { r.load_told(host, result == Result::kOk, told); });
-  });
+  pools_.send(host, bytes, loop_.now() + limits_.connect,
+              [this, host](Result result, const http::Messages* a) {
+                const auto told = report(a);
+                tell([&](Router& r) { r.load_told(host, result == Result::kOk, told); });
+              });
 }
 
 // ---- The list ----
@@ -307,15 +312,16 @@
 void Service::stage(const Json& state, bool answers_vote) {
   static const std::vector<std::string> phases{"trial", "rolling_back", "released", "withdrawn"};
   const unsigned phase = index_of(phases, state.text("progress"));
-  const double build = state.number("image", -1), at = state.number("ring", -1), cap = state.number("ceiling", -1);
+  const double build = state.number("image", -1), at = state.number("ring", -1),
+               cap = state.number("ceiling", -1);
   if (phase >= phases.size() || build < 0 || build > 65535 || at < 0 || at > 255 || cap < 0) {
     note_("desk: a state that can't be read is passed over: " + std::string(state.raw().substr(0, 200)));
     if (answers_vote) vote_answered(Answer::kUnknown, nullptr);
     return;
   }
   tell([&](Router& r) {
-    r.stage_told(static_cast<BuildId>(build), static_cast<unsigned>(at), static_cast<Phase>(phase), answers_vote,
-                 Answer::kTaken, cap, Span::ms(std::max(0.0, state.number("lag_ms", 0))));
+    r.stage_told(static_cast<BuildId>(build), static_cast<unsigned>(at), static_cast<Phase>(phase),
+                 answers_vote, Answer::kTaken, cap, Span::ms(std::max(0.0, state.number("lag_ms", 0))));
   });
 }
 
@@ -323,7 +329,8 @@
   const Span age = Span::ms(std::max(0.0, params.number("lag_ms", 0)));
   if (method == "ROLLOUT") return stage(params, false);
   const unsigned group = index_of(door_.path_groups, params.text("type"));
-  const double build = params.number("image", 0), count = params.number("n", -1), bad = params.number("bad", -1);
+  const double build = params.number("image", 0), count = params.number("n", -1),
+               bad = params.number("bad", -1);
   const auto host = indices_.find(params.text("host"));
   if (method == "SAMPLE" && group < door_.path_groups.size() && build >= 0 && build < 65536 && bad >= 0 &&
       count >= bad && count < 4e9) {
@@ -363,7 +370,7 @@
 void Service::check_wound_down() {
   callers_.close_door();
   callers_.wind_down();
-  const bool over = in_hand_ == 0 && callers_.all_idle();
+  const bool over = in_hand_ == 0 && callers_.all_answered();
   if (over || loop_.now() - stop_at_ > limits_.stop_at_latest) return wound_down_();
   stop_.in(Span::ms(20));
 }
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -45,7 +45,7 @@
     bool out = true;
   };
   struct Hit {
-    bool live = false;  // in a place of the slab
+    bool live = false;         // in a place of the slab
     Caller* caller = nullptr;  // none once it is answered or its client has left
     Instant give_up_at;
     std::string head, body;  // of each forward, but for the time left
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -68,14 +68,10 @@
     const std::string at = "grades." + std::to_string(i) + ".";
     PathGroup g;
     const std::string effect = given.word(at + "effect");
-    if (effect == "idempotent")
-      g.repeats = Repeats::kRepeatable;
-    else if (effect == "deduplicated")
-      g.repeats = Repeats::kTagged;
-    else if (effect == "at_most_once")
-      g.repeats = Repeats::kMutating;
-    else
-      throw TermsError("settings: '" + at + "effect' is unknown: '" + effect + "'");
+    if (effect == "idempotent") g.repeats = Repeats::kRepeatable;
+    else if (effect == "deduplicated") g.repeats = Repeats::kTagged;
+    else if (effect == "at_most_once") g.repeats = Repeats::kMutating;
+    else throw TermsError("settings: '" + at + "effect' is unknown: '" + effect + "'");
     const std::string group = given.word(at + "group", "all");
     g.group = group == "zone" ? DropGroup::kZone : group == "cell" ? DropGroup::kCell : DropGroup::kAll;
     g.target = given.span(at + "goalTimeMs");
@@ -143,7 +139,8 @@
   DoorTerms t;
   const auto names = [&](const std::string& list, std::vector<std::string>& to) {
     const auto count = static_cast<std::uint32_t>(given.number(list + ".count", 0));
-    for (std::uint32_t i = 0; i < count; ++i) to.push_back(given.word(list + "." + std::to_string(i) + ".name"));
+    for (std::uint32_t i = 0; i < count; ++i)
+      to.push_back(given.word(list + "." + std::to_string(i) + ".name"));
   };
   names("grades", t.path_groups);
   for (std::size_t i = 0; i < t.path_groups.size(); ++i) {
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -36,7 +36,8 @@
 }
 
 Connection::Connection(Loop& loop, const Limits& limits, Owner& owner, int accepted)
-    : loop_(loop), limits_(limits), owner_(owner), socket_(Accepted(accepted)), state_(State::kOpen), was_open_(true) {
+    : loop_(loop), limits_(limits), owner_(owner), socket_(Accepted(accepted)), state_(State::kOpen),
+      was_open_(true) {
   socket_.setBlocking(false);
   socket_.setNoDelay(true);
   watch(true, writing_);
@@ -57,7 +58,8 @@
 
 void Connection::flush() {
   while (written_ < out_.size()) {
-    const auto n = ::send(socket_.impl()->sockfd(), out_.data() + written_, out_.size() - written_, MSG_NOSIGNAL);
+    const auto n =
+        ::send(socket_.impl()->sockfd(), out_.data() + written_, out_.size() - written_, MSG_NOSIGNAL);
     if (n < 0 && errno == EINTR) continue;
     if (n < 0 && errno != EAGAIN) return end();
     if (n < 0) break;
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -18,9 +18,9 @@
    public:
     virtual ~Owner() = default;
     virtual void opened() {}
-    virtual void bytes_came() = 0;   // look at unread(), take() what was used
-    virtual void all_written() {}    // after a write that could not be finished at once
-    virtual void ended() = 0;        // by the other side, or broken; unread() still stands
+    virtual void bytes_came() = 0;  // look at unread(), take() what was used
+    virtual void all_written() {}   // after a write that could not be finished at once
+    virtual void ended() = 0;       // by the other side, or broken; unread() still stands
   };
 
   Connection(Loop& loop, const Limits& limits, Owner& owner, const std::string& address);  // opens one
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -42,11 +42,13 @@
   if (put_off_.size() == 1) set_wait();
 }
 
-// POCO waits in whole milliseconds and cuts fractions off: rounded up here, or the last one would be spun away.
+// POCO waits in whole milliseconds and cuts fractions off: rounded up here, or the last one would be spun
+// away.
 void Loop::set_wait() {
   std::int64_t us = kLongestWaitUs;
   if (!put_off_.empty()) us = 0;
-  else if (!timers_.empty()) us = std::clamp<std::int64_t>((timers_.begin()->first.first - now()).us(), 0, us);
+  else if (!timers_.empty())
+    us = std::clamp<std::int64_t>((timers_.begin()->first.first - now()).us(), 0, us);
   setTimeout(Poco::Timespan((us + 999) / 1000 * 1000));
 }
 
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -26,7 +26,8 @@
   const std::string plain =
       "POST /book/7?x=1 HTTP/1.1\r\nHost: a\r\ncontent-length:  5 \r\nX-Odd:\r\n\r\nhello";
   const std::string chunked =
-      "POST /book HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n3;ext=1\r\nabc\r\n1f\r\n0123456789012345678901234567890"
+      "POST /book HTTP/1.1\r\nTransfer-Encoding: "
+      "Chunked\r\n\r\n3;ext=1\r\nabc\r\n1f\r\n0123456789012345678901234567890"
       "\r\n0\r\nTrailer: x\r\n\r\n";
   for (const std::string& text : {plain, chunked}) {
     const std::string body = text.substr(text.find("\r\n\r\n") + 4);
@@ -40,7 +41,8 @@
 }
 
 TEST(Http, OneByteAtATimeAndTheNextMessageStaysUnread) {
-  const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: b, close\r\n\r\nokHTTP/1.1";
+  const std::string text =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: b, close\r\n\r\nokHTTP/1.1";
   Messages m(Messages::Side::kAnswers, 256, 256);
   std::size_t used = 0;
   while (used < text.size()) {
@@ -122,8 +124,8 @@
 }
 
 TEST(Json, WhatIsNoneIsRefused) {
-  for (const char* text : {"", "{", "{\"a\"}", "{\"a\":}", "[1,]", "[1 2]", "01", "1.", "-", "1e", "\"\\x\"", "\"\\u12g4\"",
-                           "\"a\nb\"", "tru", "{}x", "{a:1}", "\"open"}) {
+  for (const char* text : {"", "{", "{\"a\"}", "{\"a\":}", "[1,]", "[1 2]", "01", "1.", "-", "1e", "\"\\x\"",
+                           "\"\\u12g4\"", "\"a\nb\"", "tru", "{}x", "{a:1}", "\"open"}) {
     EXPECT_FALSE(Json::parse(text)) << text;
   }
   EXPECT_FALSE(Json::parse(std::string(100, '[') + std::string(100, ']')));
@@ -147,14 +149,30 @@
 // Pieces of good input shuffled with noise: nothing may crash, read outside, or take more than it was given.
 TEST(Parsers, GarbageIsSurvived) {
   std::mt19937 chance(7);
-  const std::string pieces[] = {"GET /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\n", "Content-Length: 3\r\n", "\r\n", "5\r\n",
-                                "Transfer-Encoding: chunked\r\n", "{\"a\":", "[", "]", "}", "\"", "\\u00", ",", "1e5",
-                                "\n", std::string(1, '\0'), "abc", "0\r\n\r\n"};
+  const std::string pieces[] = {"GET /a HTTP/1.1\r\n",
+                                "HTTP/1.1 200 OK\r\n",
+                                "Content-Length: 3\r\n",
+                                "\r\n",
+                                "5\r\n",
+                                "Transfer-Encoding: chunked\r\n",
+                                "{\"a\":",
+                                "[",
+                                "]",
+                                "}",
+                                "\"",
+                                "\\u00",
+                                ",",
+                                "1e5",
+                                "\n",
+                                std::string(1, '\0'),
+                                "abc",
+                                "0\r\n\r\n"};
   unsigned whole = 0, parsed = 0;
   for (int round = 0; round < 20000; ++round) {
     std::string text;
     for (auto n = chance() % 8; n-- > 0;) {
-      text += chance() % 4 ? pieces[chance() % std::size(pieces)] : std::string(1, static_cast<char>(chance()));
+      text +=
+          chance() % 4 ? pieces[chance() % std::size(pieces)] : std::string(1, static_cast<char>(chance()));
     }
     for (const auto side : {Messages::Side::kRequests, Messages::Side::kAnswers}) {
       Messages m(side, 64, 64);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -89,7 +89,9 @@
     pollfd in{fd, POLLIN, 0};
     return ::poll(&in, 1, wait_ms) == 1;
   }
-  Stream take(int wait_ms = 1500) const { return Stream(asked(wait_ms) ? ::accept(fd, nullptr, nullptr) : -1); }
+  Stream take(int wait_ms = 1500) const {
+    return Stream(asked(wait_ms) ? ::accept(fd, nullptr, nullptr) : -1);
+  }
 };
 
 const char* const kOk = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Kept: 1\r\n\r\nbody";
@@ -97,8 +99,8 @@
   return "HTTP/1.1 " + status + " X\r\n" + fields + "Content-Length: 0\r\n\r\n";
 }
 std::string get(unsigned left_ms = 1500, const std::string& fields = "") {
-  return "GET /look/1?q HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: a1\r\nX-Time-Left-Ms: " + std::to_string(left_ms) +
-         "\r\n" + fields + "\r\n";
+  return "GET /look/1?q HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: a1\r\nX-Time-Left-Ms: " +
+         std::to_string(left_ms) + "\r\n" + fields + "\r\n";
 }
 std::string post(const std::string& group, unsigned left_ms = 1500) {
   return "POST /" + group + " HTTP/1.1\r\nX-Correlation-Id: b2\r\nIdempotency-Key: k\r\nX-Time-Left-Ms: " +
@@ -128,13 +130,15 @@
   std::atomic<bool> stopping_ = false, wound_down_ = false;
   std::vector<std::string> notes_;  // read once the thread has ended
 
-  std::string entry(int host, const std::string& state = "up", int build = 1, const std::string& at = "") const {
-    return R"({"uid":"h)" + std::to_string(host) + R"(","endpoint":")" + (at.empty() ? hosts_[host].address() : at) +
-           R"(","az":"a","model":"m","pod_group":1,"state":")" + state +
-           R"(","capacity_hint":1.0,"boot_ms":0,"release":)" + std::to_string(build) + "}";
+  std::string entry(int host, const std::string& state = "up", int build = 1,
+                    const std::string& at = "") const {
+    return R"({"uid":"h)" + std::to_string(host) + R"(","endpoint":")" +
+           (at.empty() ? hosts_[host].address() : at) + R"(","az":"a","model":"m","pod_group":1,"state":")" +
+           state + R"(","capacity_hint":1.0,"boot_ms":0,"release":)" + std::to_string(build) + "}";
   }
   static std::string list(const std::string& entries, int rev, bool all = false) {
-    return R"({"rev":)" + std::to_string(rev) + R"(,"all":)" + (all ? "true" : "false") + R"(,"targets":[)" + entries + "]}";
+    return R"({"rev":)" + std::to_string(rev) + R"(,"all":)" + (all ? "true" : "false") + R"(,"targets":[)" +
+           entries + "]}";
   }
   std::string all_hosts() const { return list(entry(0) + "," + entry(1) + "," + entry(2), 41, true); }
   void SetUp() override {
@@ -192,7 +196,8 @@
   begin(all_hosts());
   Stream c = client();
   for (const int round : {1, 2}) {  // the second on kept connections
-    const std::string request = get(900, "X-Account: shop\r\nX-Odd: \t v \r\nConnection: keep-alive, x-own\r\nX-Own: 1\r\n");
+    const std::string request =
+        get(900, "X-Account: shop\r\nX-Odd: \t v \r\nConnection: keep-alive, x-own\r\nX-Own: 1\r\n");
     for (std::size_t at = 0; at < request.size(); at += 40) c.say(request.substr(at, 40)), usleep(300);
     Stream h = forward();
     const std::string got = h.message();
@@ -302,7 +307,7 @@
   const Instant asked = loop_.now();
   EXPECT_EQ(status_of(c.message()), 502U);
   EXPECT_LT(loop_.now() - asked, Span::ms(450));  // 200, and what a busy machine may add
-  EXPECT_TRUE(h.ended());  // given up by closing it
+  EXPECT_TRUE(h.ended());                         // given up by closing it
 }
 
 TEST_F(RouterTest, AClientThatLeavesHasItsForwardCalledOff) {
@@ -335,7 +340,8 @@
       {"GET /health/ready HTTP/1.1\r\n\r\n", 200},
       {"POST /health/ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405},
   };
-  for (const auto& [request, status] : rows) EXPECT_EQ(status_of(ask(request)), status) << request.substr(0, 60);
+  for (const auto& [request, status] : rows)
+    EXPECT_EQ(status_of(ask(request)), status) << request.substr(0, 60);
   Stream half = client();
   half.say("POST /pay" + head + "Content-Length: 9\r\n\r\nhalf");
   half.shut();
@@ -345,8 +351,9 @@
 TEST_F(RouterTest, ABodyOfChunksGoesOnAsItCame) {
   begin(all_hosts());
   Stream c = client();
-  c.say("POST /book HTTP/1.1\r\nX-Correlation-Id: a\r\nIdempotency-Key: k\r\nX-Time-Left-Ms: 900\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+  c.say(
+      "POST /book HTTP/1.1\r\nX-Correlation-Id: a\r\nIdempotency-Key: k\r\nX-Time-Left-Ms: 900\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
   Stream h = forward();
   EXPECT_NE(h.message().find("Transfer-Encoding: chunked\r\n"), std::string::npos);
   h.held.size() < 12 && h.fill(500);
@@ -361,8 +368,8 @@
   limits_.discovery_silence = Span::ms(150);
   begin(all_hosts());
   const std::string good = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-  for (const std::string& answer :
-       {status_line("503"), std::string("nonsense\r\n\r\n"), good + "0\r\n\r\n", good + "3\r\n{]\n\r\n", good + "z", good}) {
+  for (const std::string& answer : {status_line("503"), std::string("nonsense\r\n\r\n"), good + "0\r\n\r\n",
+                                    good + "3\r\n{]\n\r\n", good + "z", good}) {
     Stream d = discovery_.take(3000);
     ASSERT_FALSE(d.message().empty());
     d.say(answer);
@@ -373,11 +380,16 @@
 TEST_F(RouterTest, WhatIsOddInListAndNewsIsPassedOver) {
   begin(all_hosts());
   Stream d = discovery_.take(), s = desk_.take();
-  d.say("HTTP/1.1 200 OK\r\n\r\n" + list(R"({"uid":"x","state":"melted"},{"state":"up"},7,{"uid":"h9","state":"up"})", 42) + "\n");
+  d.say("HTTP/1.1 200 OK\r\n\r\n" +
+        list(R"({"uid":"x","state":"melted"},{"state":"up"},7,{"uid":"h9","state":"up"})", 42) + "\n");
   EXPECT_EQ(s.line(), R"({"jsonrpc":"2.0","id":1,"method":"subscribe"})");
-  s.say("{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":true}\n{\"method\":\"SAMPLE\",\"params\":{\"type\":\"none\"}}\n"
-        "{\"method\":\"ROLLOUT\",\"params\":{\"image\":1,\"progress\":\"lost\"}}\n{\"method\":\"DISPUTE\",\"params\":"
-        "{\"host\":\"h1\",\"type\":\"look\",\"lag_ms\":5}}\n{\"method\":\"NEW\",\"params\":{}}\n{\"method\":\"ping\"}\n");
+  s.say(
+      "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":true}\n{\"method\":\"SAMPLE\",\"params\":{\"type\":\"none\"}}"
+      "\n"
+      "{\"method\":\"ROLLOUT\",\"params\":{\"image\":1,\"progress\":\"lost\"}}\n{\"method\":\"DISPUTE\","
+      "\"params\":"
+      "{\"host\":\"h1\",\"type\":\"look\",\"lag_ms\":5}}\n{\"method\":\"NEW\",\"params\":{}}\n{\"method\":"
+      "\"ping\"}\n");
   Stream c = client();
   c.say(get());
   Stream h = forward();
@@ -397,8 +409,9 @@
   stopping_ = true;
   EXPECT_TRUE(idle.ended());
   EXPECT_EQ(status_of(ask("GET /health/ready HTTP/1.1\r\n\r\n")), 503U);
-  Stream late = client();  // comes after the signal and is served all the same
+  Stream late = client(), odd = client();  // come after the signal and are served all the same
   late.say(get());
+  odd.say("GET /health/ready HTTP/1.1\r\n");
   usleep(250000);
   EXPECT_FALSE(wound_down_);
   h.say(kOk);
@@ -408,6 +421,8 @@
   Stream h2 = forward();
   h2.say(kOk);
   EXPECT_EQ(status_of(late.message()), 200U);
+  odd.say("\r\n");  // half read until now: it is waited for
+  EXPECT_EQ(status_of(odd.message()), 503U);
   thread_.join();
   EXPECT_TRUE(wound_down_);
 }
@@ -427,6 +442,12 @@
   unsigned answered = 0;
   for (Stream& c : busy) answered += status_of(c.message()) != 0;
   EXPECT_EQ(answered, 3U);
+  usleep(250000);  // kept connections that stand idle give way to new ones
+  for (int i = 0; i < 6; ++i) {
+    busy.push_back(client());
+    busy.back().say("GET /health/ready HTTP/1.1\r\n\r\n");
+    EXPECT_EQ(status_of(busy.back().message()), 200U) << i;
+  }
 }
 
 // ---- The release desk by itself ----
@@ -438,9 +459,12 @@
   std::vector<Answer> answers_;
   std::vector<std::string> news_;
   void run(const std::function<void(Desk&)>& first, const std::function<bool()>& until) {
-    Desk desk(loop_, limits_, door_.address(), 3,
-              [this](const std::string& method, const Json& params) { news_.push_back(method + std::string(params.raw())); },
-              [this](Answer a, const Json*) { answers_.push_back(a); }, [](const char*) {});
+    Desk desk(
+        loop_, limits_, door_.address(), 3,
+        [this](const std::string& method, const Json& params) {
+          news_.push_back(method + std::string(params.raw()));
+        },
+        [this](Answer a, const Json*) { answers_.push_back(a); }, [](const char*) {});
     desk.start();
     int rounds = 0;
     Timer look(loop_, [&] {
@@ -459,24 +483,30 @@
     Stream s = door_.take();
     std::string calls;
     for (int i = 0; i < 7; ++i) calls += s.line() + "\n";
-    EXPECT_NE(calls.find(R"("id":2,"method":"release.vote","params":{"image":42,"ring":1,"opinion":"promote"}})"),
-              std::string::npos);
+    EXPECT_NE(
+        calls.find(R"("id":2,"method":"release.vote","params":{"image":42,"ring":1,"opinion":"promote"}})"),
+        std::string::npos);
     const auto error = [](int id, const char* words) {
-      return "{\"id\":" + std::to_string(id) + ",\"error\":{\"code\":-32602,\"message\":\"" + words + "\"}}\n";
+      return "{\"id\":" + std::to_string(id) + ",\"error\":{\"code\":-32602,\"message\":\"" + words +
+             "\"}}\n";
     };
-    const std::string text = "{\"id\":1,\"result\":true}\n{\"id\":2,\"result\":{\"image\":42}}\n" + error(3, "Throttling") +
-                             "{\"method\":\"ROLLOUT\",\"params\":{\"image\":42}}\n" + error(4, "ConditionFailed") +
-                             error(5, "InternalFailure") + error(6, "ValidationError");
+    const std::string text = "{\"id\":1,\"result\":true}\n{\"id\":2,\"result\":{\"image\":42}}\n" +
+                             error(3, "Throttling") + "{\"method\":\"ROLLOUT\",\"params\":{\"image\":42}}\n" +
+                             error(4, "ConditionFailed") + error(5, "InternalFailure") +
+                             error(6, "ValidationError");
     for (std::size_t at = 0; at < text.size(); at += 37) s.say(text.substr(at, 37)), usleep(500);
     usleep(200000);  // the seventh call gets no answer in time, and then one that is not waited for any more
     s.say("{\"id\":7,\"result\":{}}\n{\"method\":\"ping\"}\n");
     usleep(50000);
   });
-  run([](Desk& d) { for (int i = 0; i < 6; ++i) d.vote(42, 1, Vote::kOn); },
+  run(
+      [](Desk& d) {
+        for (int i = 0; i < 6; ++i) d.vote(42, 1, Vote::kOn);
+      },
       [this] { return answers_.size() >= 6; });
   desk.join();
-  EXPECT_EQ(answers_, (std::vector<Answer>{Answer::kTaken, Answer::kFull, Answer::kVoid, Answer::kFailed, Answer::kFailed,
-                                           Answer::kUnknown}));
+  EXPECT_EQ(answers_, (std::vector<Answer>{Answer::kTaken, Answer::kFull, Answer::kVoid, Answer::kFailed,
+                                           Answer::kFailed, Answer::kUnknown}));
   EXPECT_EQ(news_, std::vector<std::string>{"ROLLOUT{\"image\":42}"});
 }
 
