Full tables: half requests and lingering connections give way, accepting resumes; buffers given back

Found by the full-table test extended with a half request: with accepting paused and every kept connection younger than the settling time, nothing ever resumed it (Callers::accepted); it is now looked at again every 50 ms. Discovery and the desk log a loss once and the return once.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -13,7 +13,7 @@
   std::size_t desk_line = 8 * 1024;         // of the release desk
   std::size_t list_line = 4 * 1024 * 1024;  // of discovery: a whole list stands on one line
   std::size_t read_at_once = 16 * 1024;
-  std::size_t unread = 160 * 1024;  // read from a connection and not taken yet: then reading stops
+  std::size_t unread = 16 * 1024;  // read from a connection and not taken yet: then reading stops
   // Counts of connections.
   std::size_t clients = 448;
   std::size_t to_hosts = 448;
@@ -22,7 +22,7 @@
   Span connect = Span::ms(250);             // to a host; the settings may say less
   Span host_idle = Span::s(24);             // kept connections are closed before the host does so
   Span request_read = Span::s(10);          // from a request's first byte to its last
-  Span answer_written = Span::s(10);        // a client that does not read its answer
+  Span answer_written = Span::s(5);        // a client that does not read its answer
   Span discovery_silence = Span::ms(4500);  // a line at least comes every 2 s
   Span desk_connect = Span::s(1);
   Span desk_silence = Span::ms(3500);  // a ping comes every second
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -306,7 +306,7 @@
 
 void Messages::next() {
   head_.clear();
-  raw_body_.clear();
+  std::string().swap(raw_body_);  // a kept connection must not keep the room of its largest body
   in_body_ = whole_ = false;
   fault_ = status_ = 0;
 }
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -94,6 +94,7 @@
   unsigned fault() const { return fault_; }  // what a client is told of a bad request
   const Head& head() const { return head_; }
   const std::string& raw_body() const { return raw_body_; }
+  std::string take_raw_body() { return std::move(raw_body_); }
   bool body_by_stream_end() const { return body_.ends_with_stream(); }
   unsigned status() const { return status_; }  // of an answer
   bool last() const;                           // the connection ends after this message
--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -8,6 +8,7 @@
 
 constexpr Span kLinger = Span::s(1);     // for a client that still sends what was refused
 constexpr Span kSettle = Span::ms(200);  // a connection this young is about to bring its first request
+constexpr Span kWhole = Span::s(1);      // a request that takes longer to come gives way at a full table
 
 }  // namespace
 
@@ -26,7 +27,10 @@
   const auto got = requests_.feed(bytes);
   connection_.take(had - bytes.size());
   if (got == http::Messages::Got::kMore) {
-    if (!timer_.armed() && requests_.begun()) timer_.in(callers_.limits_.request_read);
+    if (!timer_.armed() && requests_.begun()) {
+      since_ = callers_.loop_.now();
+      timer_.in(callers_.limits_.request_read);
+    }
     return;
   }
   timer_.off();
@@ -94,20 +98,29 @@
 Callers::Callers(Loop& loop, const Limits& limits, const std::string& address, Came came, Left left,
                  Left overdue)
     : loop_(loop), limits_(limits), came_(std::move(came)), left_(std::move(left)),
-      overdue_(std::move(overdue)),
+      overdue_(std::move(overdue)), room_(loop, [this] { make_room(); }),
       listener_(loop, address, limits.backlog, [this](int fd) { accepted(fd); }) {}
 
 void Callers::accepted(int fd) {
   callers_.push_back(std::make_unique<Caller>(*this, fd, callers_.size()));
   // While it is full, each answer ends its connection: what waits outside gets its turn.
-  if (full() && !close_idlest(loop_.now() - kSettle)) listener_.pause(true);
+  if (full()) make_room();
+}
+
+// As the last resort accepting pauses, until a connection ends or has stood idle long enough.
+void Callers::make_room() {
+  if (!full() || close_idlest(loop_.now() - kSettle)) return;
+  listener_.pause(true);
+  room_.in(kSettle * 0.25);
 }
 
 bool Callers::close_idlest(Instant idle_since) {
   Caller* idlest = nullptr;
   for (const auto& c : callers_) {
-    if (c->at_ != Caller::At::kReading || c->requests_.begun() || !c->connection_.quiet()) continue;
-    if (c->since_ > idle_since) continue;
+    const bool begun = c->requests_.begun() && c->at_ == Caller::At::kReading;
+    if (c->since_ > (begun ? idle_since - kWhole : idle_since)) continue;
+    if (c->at_ != Caller::At::kLingering && (c->at_ != Caller::At::kReading || !c->connection_.quiet()))
+      continue;
     if (!idlest || c->since_ < idlest->since_) idlest = c.get();
   }
   if (idlest) remove(idlest);
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -49,7 +49,7 @@
 class Callers {
  public:
   // A whole request: answer it on the caller now or later. A caller that has gone must not be answered.
-  using Came = std::function<void(Caller&, const http::Messages&)>;
+  using Came = std::function<void(Caller&, http::Messages&)>;
   using Left = std::function<void(Caller&)>;
   Callers(Loop& loop, const Limits& limits, const std::string& address, Came came, Left left, Left overdue);
   std::uint16_t port() const { return listener_.port(); }
@@ -63,14 +63,18 @@
   friend class Caller;
   void accepted(int fd);
   void remove(Caller* caller);
+  void make_room();
   bool full() const { return callers_.size() >= limits_.clients; }
-  bool close_idlest(Instant idle_since);  // of those that are idle since then or longer
+  // The one that has been idle longest, since then at least; guards against clients that hold connections and
+  // send nothing, or half a request.
+  bool close_idlest(Instant idle_since);
   Loop& loop_;
   const Limits& limits_;
   Came came_;
   Left left_, overdue_;
   bool winding_down_ = false;
   std::vector<std::unique_ptr<Caller>> callers_;
+  Timer room_;
   Listener listener_;
 };
 
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -91,6 +91,7 @@
   const auto whole = Json::parse(text);
   if (!whole || !whole->is_object()) return false;
   wait_ = limits_.retry_first;
+  if (tries_ > 0) note_("connection stands again, tries " + std::to_string(tries_)), tries_ = 0;
   const std::string method = whole->text("method");
   if (method.empty()) {
     if (!whole->member("id")) return false;
@@ -120,7 +121,7 @@
 }
 
 void Desk::lost(const char* why) {
-  note_(why);
+  if (tries_++ == 0) note_(std::string("connection ") + why);
   silence_.off();
   answers_.off();
   // What was never written was not carried out; of the rest that is not known.
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -19,7 +19,8 @@
  public:
   using News = std::function<void(const std::string& method, const Json& params)>;
   using Answered = std::function<void(Answer, const Json* state)>;  // the state comes with kTaken
-  using Note = std::function<void(const char* what)>;
+  using Note =
+      std::function<void(const std::string& what)>;  // once when it is lost, once when it stands again
   Desk(Loop& loop, const Limits& limits, std::string address, std::uint64_t seed, News news,
        Answered answered, Note note);
   void start() { open(); }
@@ -52,6 +53,7 @@
   std::deque<Call> calls_;  // written, not answered
   std::uint64_t next_id_ = 1;
   bool opened_ = false;
+  unsigned tries_ = 0;  // since it was lost
   Span wait_;
   Timer silence_, again_, answers_;
 };
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -63,7 +63,7 @@
     : loop_(loop), limits_(limits), door_(door), site_(site), note_(std::move(note)),
       max_forwards_(terms.max_forwards),
       callers_(
-          loop, limits, site.listen, [this](Caller& c, const http::Messages& m) { came(c, m); },
+          loop, limits, site.listen, [this](Caller& c, http::Messages& m) { came(c, m); },
           [this](Caller& c) { left(c); }, [this](Caller& c) { overdue(c.hit); }),
       pools_(loop, limits, std::min(limits.connect, terms.drain_grace * 0.5)),
       discovery_(
@@ -73,7 +73,7 @@
           loop, limits, site.desk, site.seed,
           [this](const std::string& method, const Json& params) { desk_said(method, params); },
           [this](Answer answer, const Json* state) { vote_answered(answer, state); },
-          [this](const char* what) { note_(std::string("desk: connection ") + what); }),
+          [this](const std::string& what) { note_("desk: " + what); }),
       stop_(loop, [this] { check_wound_down(); }), module_(make_router(terms, site.seed, *this)) {}
 
 Service::~Service() = default;
@@ -88,7 +88,7 @@
 
 // ---- Clients ----
 
-void Service::came(Caller& caller, const http::Messages& request) {
+void Service::came(Caller& caller, http::Messages& request) {
   const http::Head& head = request.head();
   std::string_view path = head.word(1);
   path = path.substr(0, path.find('?'));
@@ -114,7 +114,7 @@
   caller.hit = place;
   hit.give_up_at = loop_.now() + Span::ms(std::min(static_cast<double>(*left_ms), 3.6e6));
   hit.head.assign(head.first_line()).append(kept_lines(head));
-  hit.body = request.raw_body();
+  hit.body = request.take_raw_body();
   caller.answer_by(hit.give_up_at + kOverdue);
   std::uint64_t key = 0;
   double hint = 0;
@@ -260,6 +260,8 @@
     }
   }
   tell([](Router& r) { r.list_end(); });
+  if (watch_tries_ > 0) note_("discovery: watch stands again, tries " + std::to_string(watch_tries_));
+  watch_tries_ = 0;
 }
 
 void Service::list_entry(const Json& entry) {
@@ -296,7 +298,7 @@
 }
 
 void Service::list_lost(const char* why) {
-  note_(std::string("discovery: watch ") + why);
+  if (watch_tries_++ == 0) note_(std::string("discovery: watch ") + why);
   tell([](Router& r) { r.list_failed(); });
 }
 
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -71,7 +71,7 @@
   void log(std::string_view line) override;
 
   // What comes in.
-  void came(Caller& caller, const http::Messages& request);
+  void came(Caller& caller, http::Messages& request);
   void left(Caller& caller);
   void forward_ended(HitId id, unsigned leg, Result result, const http::Messages* answer);
   void listed(bool whole, const Json& entries);
@@ -108,6 +108,7 @@
   std::vector<Known> hosts_;
   std::vector<float> report_;
   std::map<std::uint64_t, std::unique_ptr<Timer>> wakes_;
+  unsigned watch_tries_ = 0;  // since it was lost
   bool ready_ = false, winding_down_ = false;
   Instant stop_at_;
   Timer stop_;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -65,6 +65,7 @@
     if (n < 0) break;
     written_ += static_cast<std::size_t>(n);
   }
+  if (!unwritten()) std::string().swap(out_), written_ = 0;
   watch(reading_, unwritten());
 }
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -442,7 +442,9 @@
   unsigned answered = 0;
   for (Stream& c : busy) answered += status_of(c.message()) != 0;
   EXPECT_EQ(answered, 3U);
-  usleep(250000);  // kept connections that stand idle give way to new ones
+  busy.push_back(client());  // half a request gives way, too, in time
+  busy.back().say("GET /look HTTP/1.1\r\n");
+  usleep(1300000);  // kept connections that stand idle give way to new ones
   for (int i = 0; i < 6; ++i) {
     busy.push_back(client());
     busy.back().say("GET /health/ready HTTP/1.1\r\n\r\n");
@@ -464,7 +466,7 @@
         [this](const std::string& method, const Json& params) {
           news_.push_back(method + std::string(params.raw()));
         },
-        [this](Answer a, const Json*) { answers_.push_back(a); }, [](const char*) {});
+        [this](Answer a, const Json*) { answers_.push_back(a); }, [](const std::string&) {});
     desk.start();
     int rounds = 0;
     Timer look(loop_, [&] {
