No resolver, no spinning without descriptors, the machine's own limit is heeded; Allow with 405

Read from the code: an endpoint that is a name would have stopped the loop for a look-up (Connection); a refused accept was told again at once, a whole core (Listener). Each has a test; the second fails without the pause.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -2,7 +2,9 @@
 #include <Poco/ErrorHandler.h>
 #include <Poco/Exception.h>
 #include <spdlog/spdlog.h>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -25,7 +27,11 @@
 };
 
 int serve() {
-  const Start start = read_start([](const char* name) -> const char* { return std::getenv(name); });
+  Start start = read_start([](const char* name) -> const char* { return std::getenv(name); });
+  rlimit descriptors{};  // the machine may grant fewer than the configuration says
+  if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
+    start.sockets = std::min<std::size_t>(start.sockets, std::max<rlim_t>(descriptors.rlim_cur, 64));
+  }
   const Terms terms = read_terms(start.settings);
   const DoorTerms door = read_door_terms(start.settings);
   const Limits limits = limits_for(start.sockets, door, terms);
--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -94,6 +94,7 @@
       listener_(loop, address, limits.backlog, [this](int fd) { accepted(fd); }) {}
 
 void Callers::accepted(int fd) {
+  if (fd < 0) return pause();
   callers_.push_back(std::make_unique<Caller>(*this, fd, callers_.size()));
   // While it is full, each answer ends its connection: what waits outside gets its turn.
   if (full()) make_room();
@@ -101,7 +102,11 @@
 
 // As the last resort accepting pauses, until a connection ends or has stood idle long enough.
 void Callers::make_room() {
-  if (!full() || close_idlest(loop_.now() - limits_.settle)) return;
+  if (!full()) return listener_.pause(false);
+  if (!close_idlest(loop_.now() - limits_.settle)) pause();
+}
+
+void Callers::pause() {
   listener_.pause(true);
   room_.in(limits_.settle * 0.25);
 }
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -64,6 +64,7 @@
   void accepted(int fd);
   void remove(Caller* caller);
   void make_room();
+  void pause();
   bool full() const { return callers_.size() >= limits_.clients; }
   // The one that has been idle longest, since then at least; guards against clients that hold connections and
   // send nothing, or half a request.
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -95,14 +95,15 @@
   std::string_view path = head.word(1);
   path = path.substr(0, path.find('?'));
   if (path == "/health/ready") {
-    if (head.word(0) != "GET") return caller.answer_plain(405);
+    if (head.word(0) != "GET") return caller.answer_plain(405, "Allow: GET\r\n");
     return caller.answer_plain(ready_ && !winding_down_ ? 200 : 503);
   }
   path.remove_prefix(1);
   const unsigned group = index_of(door_.path_groups, path.substr(0, path.find('/')));
   if (group >= door_.path_groups.size()) return caller.answer_plain(404);
   const PathGroupDoor& needs = door_.needs[group];
-  if (head.word(0) != (needs.repeatable ? "GET" : "POST")) return caller.answer_plain(405);
+  const std::string method = needs.repeatable ? "GET" : "POST";
+  if (head.word(0) != method) return caller.answer_plain(405, "Allow: " + method + "\r\n");
   const auto id = head.find("X-Correlation-Id"), time_left = head.find("X-Time-Left-Ms");
   const auto left_ms = time_left ? http::whole_number(*time_left) : std::nullopt;
   if (!id || id->empty() || !left_ms || (needs.tagged && head.find("Idempotency-Key").value_or("").empty()))
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -2,11 +2,13 @@
 
 #include <Poco/Exception.h>
 #include <Poco/NObserver.h>
+#include <Poco/Net/IPAddress.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <charconv>
 
 namespace ashbeam {
 
@@ -22,12 +24,27 @@
   explicit Accepted(int fd) : StreamSocket(new Poco::Net::StreamSocketImpl(fd)) {}
 };
 
+// POCO would ask the resolver for a name, and the loop would wait for it.
+Poco::Net::SocketAddress numeric(const std::string& address) {
+  const std::size_t colon = std::min(address.rfind(':'), address.size());
+  std::string host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+  unsigned port = 0;
+  const char* const end = address.data() + address.size();
+  const auto [stop, error] = std::from_chars(address.data() + std::min(colon + 1, address.size()), end, port);
+  Poco::Net::IPAddress ip;
+  if (stop != end || error != std::errc() || port > 65535 || !Poco::Net::IPAddress::tryParse(host, ip)) {
+    throw Poco::InvalidArgumentException("not a numeric address: " + address);
+  }
+  return {ip, static_cast<Poco::UInt16>(port)};
+}
+
 }  // namespace
 
 Connection::Connection(Loop& loop, const Limits& limits, Owner& owner, const std::string& address)
     : loop_(loop), limits_(limits), owner_(owner) {
   try {
-    socket_.connectNB(Poco::Net::SocketAddress(address));
+    socket_.connectNB(numeric(address));
     socket_.setNoDelay(true);
     watch(false, true);
   } catch (const Poco::Exception&) {
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -4,6 +4,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+
 namespace ashbeam {
 
 Listener::Listener(Loop& loop, const std::string& address, int backlog, std::function<void(int)> came)
@@ -25,8 +27,10 @@
 void Listener::accept_waiting() {
   while (!closed_ && watched_) {
     const int fd = ::accept4(socket_.impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0) return;
+    if (fd < 0 && errno == ECONNABORTED) continue;
+    if (fd < 0 && (errno == EAGAIN || errno == EINTR)) return;
     came_(fd);
+    if (fd < 0) return;
   }
 }
 
--- a/src/transport/listener.hpp
+++ b/src/transport/listener.hpp
@@ -12,7 +12,9 @@
 
 class Listener {
  public:
-  // `came` owns the descriptor that it is given. Throws Poco::Exception where the address can't be had.
+  // `came` owns the descriptor that it is given; a negative one says that the machine has none left, and that
+  // it must pause: a connection that can't be taken is told again and again. Throws Poco::Exception where the
+  // address can't be had.
   Listener(Loop& loop, const std::string& address, int backlog, std::function<void(int)> came);
   ~Listener() { close(); }
   Listener(const Listener&) = delete;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -2,9 +2,11 @@
 // and the release desk in the test itself, on plain blocking sockets.
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <atomic>
+#include <ctime>
 #include <thread>
 
 #include "helpers.hpp"
@@ -286,7 +288,9 @@
     ::connect(fill.back(), reinterpret_cast<sockaddr*>(&at), size);
   }
   const std::string closed = [] { return Door().address(); }();
-  begin(list(entry(0, "up", 1, closed) + "," + entry(1, "up", 1, full.address()) + "," + entry(2), 41, true));
+  begin(list(entry(0, "up", 1, closed) + "," + entry(3, "up", 1, "localhost:1") + "," +
+                 entry(1, "up", 1, full.address()) + "," + entry(2),
+             41, true));
   for (int i = 0; i < 6; ++i) {
     Stream c = client();
     c.say(post("pay"));
@@ -456,6 +460,26 @@
   }
 }
 
+TEST_F(RouterTest, WithoutDescriptorsItWaitsAndDoesNotSpin) {
+  begin(all_hosts());
+  Stream c(::socket(AF_INET, SOCK_STREAM, 0));
+  rlimit usual{}, few{};
+  ::getrlimit(RLIMIT_NOFILE, &usual);
+  few = {static_cast<rlim_t>(c.fd), usual.rlim_max};  // those that stand go on, no new one is had
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &few), 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_port = htons(service_->port());
+  ::connect(c.fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
+  c.say("GET /health/ready HTTP/1.1\r\n\r\n");
+  const auto before = std::clock();
+  usleep(300000);
+  EXPECT_LT(std::clock() - before, CLOCKS_PER_SEC / 5);
+  ::setrlimit(RLIMIT_NOFILE, &usual);
+  EXPECT_EQ(status_of(c.message()), 200U);
+}
+
 // ---- The release desk by itself ----
 
 struct DeskTest : testing::Test {
