--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -96,6 +96,20 @@
   }
 };
 
+struct FullDoor : Door {  // further connections never come up
+  std::vector<Stream> filling;
+  FullDoor() {
+    ::listen(fd, 0);
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+    for (int i = 0; i < 4; ++i) {
+      filling.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      ::connect(filling.back().fd, reinterpret_cast<sockaddr*>(&at), size);
+    }
+  }
+};
+
 const char* const kOk = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Kept: 1\r\n\r\nbody";
 std::string status_line(const std::string& status, const std::string& fields = "") {
   return "HTTP/1.1 " + status + " X\r\n" + fields + "Content-Length: 0\r\n\r\n";
@@ -277,16 +291,7 @@
 }
 
 TEST_F(RouterTest, AHostThatRefusesOrNeverAcceptsHasNotRunTheHit) {
-  Door full;  // its backlog is full: further connections never come up
-  std::vector<int> fill;
-  ::listen(full.fd, 0);
-  for (int i = 0; i < 4; ++i) {
-    fill.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-    sockaddr_in at{};
-    socklen_t size = sizeof at;
-    ::getsockname(full.fd, reinterpret_cast<sockaddr*>(&at), &size);
-    ::connect(fill.back(), reinterpret_cast<sockaddr*>(&at), size);
-  }
+  const FullDoor full;
   const std::string closed = [] { return Door().address(); }();
   begin(list(entry(0, "up", 1, closed) + "," + entry(3, "up", 1, "localhost:1") + "," +
                  entry(1, "up", 1, full.address()) + "," + entry(2),
@@ -299,7 +304,23 @@
     h.say(kOk);
     EXPECT_EQ(status_of(c.message()), 200U);
   }
-  for (const int fd : fill) ::close(fd);
+}
+
+TEST_F(RouterTest, AForwardThatWaitsForItsConnectionIsNotWrittenToADrainingHost) {
+  limits_.connect = Span::s(5);
+  terms_.drain_grace = Span::s(20);
+  const FullDoor full;
+  begin(list(entry(0, "up", 1, full.address()), 41, true));
+  Stream d = discovery_.take(), c = client();
+  d.say("HTTP/1.1 200 OK\r\n\r\n");
+  c.say(post("pay", 5000));
+  usleep(50000);
+  d.say(list(entry(0, "draining", 1, full.address()) + "," + entry(2), 42) + "\n");
+  Stream h =
+      forward(1000);  // never connected, so even this hit may go elsewhere, long before the connect time
+  EXPECT_FALSE(h.message().empty());
+  h.say(kOk);
+  EXPECT_EQ(status_of(c.message()), 200U);
 }
 
 TEST_F(RouterTest, SilenceIsAnErrorBeforeTheClientsTimeIsUp) {
@@ -403,6 +424,23 @@
   Stream h = forward();
   h.say(kOk);
   EXPECT_EQ(status_of(c.message()), 200U);
+  s.say(
+      "{\"method\":\"ROLLOUT\",\"params\":{\"image\":2,\"ring\":1,\"progress\":\"trial\",\"ceiling\":0.28,"
+      "\"lag_ms\":9}}\n{\"method\":\"ROLLOUT\",\"params\":{\"image\":2,\"ring\":1,\"progress\":\"rolling_"
+      "back\","
+      "\"ceiling\":0}}\n");
+  usleep(50000);
+  stopping_ = true;
+  thread_.join();
+  const auto noted = [this](const std::string& line) {
+    return std::any_of(notes_.begin(), notes_.end(),
+                       [&](const auto& n) { return n.find(line) != std::string::npos; });
+  };
+  EXPECT_TRUE(noted("build 2 stage 1 phase 0 cap 0.280"));
+  EXPECT_TRUE(noted("build 2 stage 1 phase 1 cap 0.000"));
+  EXPECT_TRUE(noted("desk: a state that can't be read"));
+  EXPECT_TRUE(noted("desk: news that can't be used is passed over: NEW"));
+  EXPECT_TRUE(noted("list: an entry with no id or an unknown state"));
 }
 
 TEST_F(RouterTest, ToldToStopItAnswersWhatComesAndEnds) {
