--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -65,7 +65,8 @@
 // A vote that has waited too long may have been taken, or may yet be: its answer is not waited for any more.
 void Desk::check() {
   Instant next = Instant::never();
-  for (Call& c : calls_) {
+  for (std::size_t i = 0; i < calls_.size(); ++i) {  // the owner may vote again meanwhile
+    Call& c = calls_[i];
     if (!c.vote) continue;
     if (c.until > loop_.now()) {
       next = std::min(next, c.until);
