One piece of code for what the router said twice; dead state taken out; behaviour unchanged

A read of the whole change. Walking a comma-separated value stood in Head::says and each_figure (http::each_listed now), the settings' spelling of names in Service and environment (listed_name in terms), what a path group is in DoorTerms and Terms (the module's terms serve both), the last steps of a hit in bounce, error, left and overdue (answer_finally, abandon). The takers of lines now say themselves whether a line is good. Never read: Leg::out, Known::name, the counts of connections, Connection::open, a second clearing of the written bytes.

--- a/src/program/environment.cpp
+++ b/src/program/environment.cpp
@@ -10,10 +10,7 @@
 namespace {
 
 std::string plain(const Json& value) {  // as the settings' text has it
-  std::string text = value.text().value_or(std::string(value.raw()));
-  std::replace_if(
-      text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
-  return text;
+  return listed_name(value.text().value_or(std::string(value.raw())));
 }
 
 void put(Pairs& pairs, const std::string& path, const Json& value) {
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -114,15 +114,12 @@
 }
 
 bool Head::says(std::string_view name, std::string_view word) const {
+  bool said = false;
   for (const Field& f : fields_) {
     if (!same_name(f.name, name)) continue;
-    for (std::string_view rest = f.value; !rest.empty();) {
-      const std::size_t comma = std::min(rest.find(','), rest.size());
-      if (same_name(trimmed(rest.substr(0, comma)), word)) return true;
-      rest.remove_prefix(std::min(comma + 1, rest.size()));
-    }
+    each_listed(f.value, [&](std::string_view one) { said = said || same_name(one, word); });
   }
-  return false;
+  return said;
 }
 
 // ---- Body ----
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -15,6 +15,17 @@
 // Whole decimal digits and nothing else; nothing where it is not that or too large.
 std::optional<std::uint64_t> whole_number(std::string_view text);
 
+// Calls back with each part of a comma-separated value.
+template <class What>
+void each_listed(std::string_view list, What&& what) {
+  while (!list.empty()) {
+    const std::size_t comma = list.find(',');
+    what(trimmed(list.substr(0, comma)));
+    if (comma == std::string_view::npos) return;
+    list.remove_prefix(comma + 1);
+  }
+}
+
 struct Field {
   std::string_view name, value, line;  // the line with its end, as it came
 };
--- a/src/protocol/lines.hpp
+++ b/src/protocol/lines.hpp
@@ -10,7 +10,8 @@
 class Lines {
  public:
   explicit Lines(std::size_t most) : most_(most) {}
-  // Hands on each whole line without its end; false once a line is longer than may be.
+  // Hands on each whole line without its end; false once one is longer than may be, or `what` says that it is
+  // not good.
   template <class What>
   bool feed(std::string_view bytes, What&& what) {
     while (!bytes.empty()) {
@@ -22,7 +23,7 @@
       if (!held_.empty() && held_.back() == '\r') held_.pop_back();
       const std::string line = std::move(held_);
       held_.clear();
-      what(std::string_view(line));
+      if (!what(std::string_view(line))) return false;
     }
     return true;
   }
--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -97,7 +97,7 @@
   if (fd < 0) return pause();
   callers_.push_back(std::make_unique<Caller>(*this, fd, callers_.size()));
   // While it is full, each answer ends its connection: what waits outside gets its turn.
-  if (full()) make_room();
+  make_room();
 }
 
 // As the last resort accepting pauses, until a connection ends or has stood idle long enough.
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "base/limits.hpp"
-#include "base/slab.hpp"
 #include "protocol/http.hpp"
 #include "transport/connection.hpp"
 #include "transport/listener.hpp"
@@ -53,7 +52,6 @@
   using Left = std::function<void(Caller&)>;
   Callers(Loop& loop, const Limits& limits, const std::string& address, Came came, Left left, Left overdue);
   std::uint16_t port() const { return listener_.port(); }
-  std::size_t connections() const { return callers_.size(); }
   // From now on each answer is the last of its connection, and connections between requests are closed.
   void wind_down();
   void close_door();          // after all that the machine has accepted is taken
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -82,9 +82,7 @@
   const std::string bytes(connection_->unread());
   connection_->take(bytes.size());
   silence_.in(limits_.desk_silence);
-  bool good = true;
-  good =
-      lines_.feed(bytes, [&](std::string_view text) { good = good && (text.empty() || line(text)); }) && good;
+  const bool good = lines_.feed(bytes, [&](std::string_view text) { return text.empty() || line(text); });
   if (!good) lost("sends what can't be read");
 }
 
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -52,10 +52,8 @@
   const auto got = body_.feed(bytes, raw_, &plain_);
   connection_->take(had);
   if (got == http::Body::Got::kBad || got == http::Body::Got::kTooLong) return fail("sends no good chunks");
-  bool good = true;
   if (!plain_.empty()) silence_.in(limits_.discovery_silence);
-  good = lines_.feed(plain_, [&](std::string_view line) { good = good && (line.empty() || take(line)); }) &&
-         good;
+  const bool good = lines_.feed(plain_, [&](std::string_view line) { return line.empty() || take(line); });
   if (!good) return fail("sends a line that is no list");
   if (got == http::Body::Got::kWhole) fail("ended");
 }
--- a/src/routing/host_pools.hpp
+++ b/src/routing/host_pools.hpp
@@ -31,7 +31,6 @@
   // Never calls `next` before it returns. The link, for `cancel`, stands until then; it may be null.
   Link* send(HostIndex host, const std::string& bytes, Instant until, Next next);
   void cancel(Link* link);  // `next` is told after this returns
-  std::size_t connections() const { return links_.size(); }
 
  private:
   struct Host {
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -14,13 +14,6 @@
   return static_cast<unsigned>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
-// Names in the settings' lists stand with these characters replaced.
-std::string listed_name(std::string name) {
-  std::replace_if(
-      name.begin(), name.end(), [](char c) { return c == ' ' || c == ','; }, '_');
-  return name;
-}
-
 // Header lines that concern one connection only, or are written anew.
 bool goes_on(const http::Head& head, std::string_view name) {
   for (const char* own : {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Upgrade", "Expect",
@@ -46,17 +39,14 @@
 // Calls back with each name=value of a comma-separated list whose value is a number.
 template <class What>
 void each_figure(std::string_view list, What&& what) {
-  while (!list.empty()) {
-    const std::size_t comma = std::min(list.find(','), list.size());
-    const std::string_view one = http::trimmed(list.substr(0, comma));
-    list.remove_prefix(std::min(comma + 1, list.size()));
+  http::each_listed(list, [&](std::string_view one) {
     const std::size_t eq = one.find('=');
-    if (eq == std::string_view::npos) continue;
+    if (eq == std::string_view::npos) return;
     const std::string_view text = one.substr(eq + 1);
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (error == std::errc() && end == text.data() + text.size()) what(one.substr(0, eq), value);
-  }
+  });
 }
 
 }  // namespace
@@ -76,7 +66,9 @@
           [this](const std::string& method, const Json& params) { desk_said(method, params); },
           [this](Answer answer, const Json* state) { vote_answered(answer, state); },
           [this](const std::string& what) { note_("desk: " + what); }),
-      stop_(loop, [this] { check_wound_down(); }), module_(make_router(terms, site.seed, *this)) {}
+      stop_(loop, [this] { check_wound_down(); }), module_(make_router(terms, site.seed, *this)) {
+  for (const PathGroup& g : terms.path_groups) repeats_.push_back(g.repeats);
+}
 
 Service::~Service() = default;
 
@@ -101,12 +93,13 @@
   path.remove_prefix(1);
   const unsigned group = index_of(door_.path_groups, path.substr(0, path.find('/')));
   if (group >= door_.path_groups.size()) return caller.answer_plain(404);
-  const PathGroupDoor& needs = door_.needs[group];
-  const std::string method = needs.repeatable ? "GET" : "POST";
+  const Repeats repeats = repeats_[group];
+  const std::string method = repeats == Repeats::kRepeatable ? "GET" : "POST";
   if (head.word(0) != method) return caller.answer_plain(405, "Allow: " + method + "\r\n");
   const auto id = head.find("X-Correlation-Id"), time_left = head.find("X-Time-Left-Ms");
   const auto left_ms = time_left ? http::whole_number(*time_left) : std::nullopt;
-  if (!id || id->empty() || !left_ms || (needs.tagged && head.find("Idempotency-Key").value_or("").empty()))
+  if (!id || id->empty() || !left_ms ||
+      (repeats == Repeats::kTagged && head.find("Idempotency-Key").value_or("").empty()))
     return caller.answer_plain(400);
 
   const HitId place = hits_.take();
@@ -143,6 +136,10 @@
   const HitId id = caller.hit;
   if (id == UINT32_MAX) return;
   take_caller(id);
+  abandon(id);
+}
+
+void Service::abandon(HitId id) {
   tell([&](Router& r) { r.client_left(id); });
   drop_if_over(id);
 }
@@ -151,8 +148,7 @@
 void Service::overdue(HitId id) {
   note_("hit overdue: answered with an error");
   if (Caller* const caller = take_caller(id)) caller->answer_plain(504);
-  tell([&](Router& r) { r.client_left(id); });
-  drop_if_over(id);
+  abandon(id);
 }
 
 void Service::drop_if_over(HitId id) {
@@ -166,12 +162,14 @@
 void Service::bounce(HitId id, Span retry_after) {
   char after[48] = "";
   if (retry_after > Span()) std::snprintf(after, sizeof after, "Retry-After: %.3f\r\n", retry_after.s());
-  if (Caller* const caller = take_caller(id)) caller->answer_plain(503, after);
-  loop_.later([this, id] { drop_if_over(id); });
+  answer_finally(id, 503, after);
 }
 
-void Service::error(HitId id) {
-  if (Caller* const caller = take_caller(id)) caller->answer_plain(502);
+void Service::error(HitId id) { answer_finally(id, 502); }
+
+// The place is given back after the call at hand: the module may still name the hit in it.
+void Service::answer_finally(HitId id, unsigned status, std::string_view fields) {
+  if (Caller* const caller = take_caller(id)) caller->answer_plain(status, fields);
   loop_.later([this, id] { drop_if_over(id); });
 }
 
@@ -184,7 +182,7 @@
   const Instant until = try_for > Span() ? std::min(now + try_for, hit.give_up_at) : hit.give_up_at;
   const std::int64_t left_ms = std::max<std::int64_t>(0, (until - now).us() / 1000);
   const std::string bytes = hit.head + "X-Time-Left-Ms: " + std::to_string(left_ms) + "\r\n\r\n" + hit.body;
-  hit.legs.push_back({host, now, nullptr, true});
+  hit.legs.push_back({host, now, nullptr});
   ++hit.out;
   hit.legs.back().link =
       pools_.send(host, bytes, until, [this, id, leg](Result result, const http::Messages* answer) {
@@ -204,7 +202,6 @@
   Hit& hit = hits_[id];
   Leg& forward = hit.legs[leg];
   forward.link = nullptr;
-  forward.out = false;
   --hit.out;
   const HostIndex host = forward.host;
   const Span took = loop_.now() - forward.sent;
@@ -277,14 +274,14 @@
   const auto host = found != indices_.end() ? found->second : static_cast<HostIndex>(hosts_.size());
   if (found == indices_.end()) {
     indices_.emplace(name, host);
-    hosts_.push_back({name, "", 0, 0, false});
+    hosts_.emplace_back();
   }
   Known& known = hosts_[host];
   std::string address = entry.text("endpoint");
   if (address.empty()) address = known.address;
   const double build = entry.number("release", known.build), started = entry.number("boot_ms", 0);
   const bool fresh = address != known.address || build != known.build || started != known.started;
-  known = {name, address, build, started, true};
+  known = {address, build, started, true};
   pools_.place(host, address, fresh, state == "up");
   const auto place = [&](const std::vector<std::string>& names, const char* field) {
     const unsigned at = index_of(names, listed_name(entry.text(field)));
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -42,7 +42,6 @@
     HostIndex host = 0;
     Instant sent;
     HostPools::Link* link = nullptr;  // stands while the forward is out
-    bool out = true;
   };
   struct Hit {
     bool live = false;         // in a place of the slab
@@ -53,7 +52,7 @@
     unsigned out = 0;
   };
   struct Known {  // of a host, as last listed
-    std::string name, address;
+    std::string address;
     double build = 0, started = 0;
     bool listed = false;
   };
@@ -88,6 +87,8 @@
     what(*module_);
   }
   Caller* take_caller(HitId id);  // for its final answer
+  void answer_finally(HitId id, unsigned status, std::string_view fields = {});
+  void abandon(HitId id);  // the module need not answer it any more
   void drop_if_over(HitId id);
   std::span<const float> report(const http::Messages* answer);
   void check_wound_down();
@@ -95,6 +96,7 @@
   Loop& loop_;
   const Limits& limits_;
   DoorTerms door_;
+  std::vector<Repeats> repeats_;  // by path group
   Site site_;
   Note note_;
   Callers callers_;
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -18,6 +18,12 @@
 
 }  // namespace
 
+std::string listed_name(std::string name) {
+  std::replace_if(
+      name.begin(), name.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  return name;
+}
+
 Pairs::Pairs(std::string_view lines) {
   while (!lines.empty()) {
     const std::size_t end = std::min(lines.find('\n'), lines.size());
@@ -143,10 +149,6 @@
       to.push_back(given.word(list + "." + std::to_string(i) + ".name"));
   };
   names("grades", t.path_groups);
-  for (std::size_t i = 0; i < t.path_groups.size(); ++i) {
-    const std::string effect = given.word("grades." + std::to_string(i) + ".effect");
-    t.needs.push_back({effect == "idempotent", effect == "deduplicated"});
-  }
   names("parties", t.customers);
   t.zones = given.words("zones");
   t.kinds = given.words("kinds");
--- a/src/terms/terms.hpp
+++ b/src/terms/terms.hpp
@@ -15,6 +15,8 @@
   using std::runtime_error::runtime_error;
 };
 
+std::string listed_name(std::string name);  // as names stand in the settings' lists
+
 class Pairs {
  public:
   Pairs() = default;
@@ -38,11 +40,7 @@
 Terms read_terms(const Pairs& given);  // throws TermsError where something that decisions need is missing
 
 // What a router on sockets needs besides: names become small indices by their place here.
-struct PathGroupDoor {  // what a client must send
-  bool repeatable = true, tagged = false;
-};
 struct DoorTerms {
-  std::vector<PathGroupDoor> needs;  // by path group
   std::vector<std::string> path_groups, customers, zones, kinds, report_columns;
   Span connect, host_idle;
 };
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -68,7 +68,6 @@
 
 void Connection::write(std::string_view bytes) {
   if (state_ != State::kOpen && state_ != State::kOpening) return;
-  if (written_ == out_.size()) out_.clear(), written_ = 0;
   out_.append(bytes);
   if (state_ == State::kOpen && !writing_) flush();
 }
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -29,7 +29,6 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  bool open() const { return state_ == State::kOpen; }
   bool opening() const { return state_ == State::kOpening; }
   // Was it never open, or is something left of what was to be written? Stands after the end, too.
   bool unwritten() const { return !was_open_ || written_ < out_.size(); }
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -139,12 +139,12 @@
     Lines lines(8);
     std::vector<std::string> got;
     for (const std::string& piece : {text.substr(0, at), text.substr(at)}) {
-      ASSERT_TRUE(lines.feed(piece, [&](std::string_view line) { got.emplace_back(line); }));
+      ASSERT_TRUE(lines.feed(piece, [&](std::string_view line) { return got.emplace_back(line), true; }));
     }
     EXPECT_EQ(got, (std::vector<std::string>{"one", "", "two"}));
   }
   Lines lines(8);
-  EXPECT_FALSE(lines.feed("012345678", [](std::string_view) {}));
+  EXPECT_FALSE(lines.feed("012345678", [](std::string_view) { return true; }));
 }
 
 // Pieces of good input shuffled with noise: nothing may crash, read outside, or take more than it was given.
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -132,14 +132,8 @@
   Door hosts_[kHosts], discovery_, desk_;
   Limits limits_;
   Terms terms_ = usual_terms();
-  DoorTerms door_{{{true, false}, {false, true}, {false, false}},
-                  {"look", "book", "pay"},
-                  {"shop"},
-                  {"a", "b"},
-                  {"m"},
-                  {"active"},
-                  Span::ms(250),
-                  Span::s(20)};
+  DoorTerms door_{{"look", "book", "pay"}, {"shop"},   {"a", "b"}, {"m"}, {"active"},
+                  Span::ms(250),           Span::s(20)};
   Loop loop_;
   std::unique_ptr<Service> service_;
   std::thread thread_;
