SIGHUP reads the configuration again and moves discovery and the desk

Checked: the exit code is the default action of the signal; main.cpp set handlers for SIGTERM and SIGINT alone, and no path led from a new file to Discovery or Desk, whose addresses were fixed when they were made. Now the file is read whole and checked, the watch is begun anew from the last version had, and the desk is opened anew while the old one is kept, unheard, until the votes cast there are answered.

--- a/src/program/environment.cpp
+++ b/src/program/environment.cpp
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "transport/connection.hpp"
+
 namespace ashbeam {
 
 namespace {
@@ -60,6 +62,12 @@
   Start start;
   site.seed = seed_of(all->member("seed"));
   site.desk = desk->text("address");
+  if (!all->text("discovery").empty()) site.discovery = all->text("discovery");
+  for (const auto& [what, at] :
+       {std::pair{"release_api.address", site.desk}, {"discovery", site.discovery}}) {
+    if (!at.empty() && !is_address(at))
+      throw StartError(std::string("configuration: '") + what + "' is no numeric address");
+  }
   if (const auto news = desk->member("news")) site.news = news->raw();
   if (const auto known = all->member("known")) site.known = known->raw();
   start.site = std::move(site);
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -17,7 +17,7 @@
 
 using namespace ashbeam;
 
-volatile std::sig_atomic_t stop_asked = 0;
+volatile std::sig_atomic_t stop_asked = 0, reading_asked = 0;
 
 class Complaints : public Poco::ErrorHandler {  // no exception ends the loop
  public:
@@ -26,8 +26,26 @@
   void exception() override { spdlog::error("exception of an unknown kind"); }
 };
 
+Start read() {
+  return read_start([](const char* name) -> const char* { return std::getenv(name); });
+}
+
+// The configuration is read whole and checked before anything of it counts.
+void read_again(const Start& standing, Service& service) {
+  try {
+    const Start next = read();
+    read_terms(next.settings);
+    read_door_terms(next.settings);
+    service.move_to(next.site.discovery, next.site.desk);
+    spdlog::info("configuration read again: discovery {}, desk {}{}", next.site.discovery, next.site.desk,
+                 next.settings == standing.settings ? "" : "; other settings count from the next start");
+  } catch (const std::exception& e) {
+    spdlog::error("configuration can't be used, the old one stands: {}", e.what());
+  }
+}
+
 int serve() {
-  Start start = read_start([](const char* name) -> const char* { return std::getenv(name); });
+  Start start = read();
   rlimit descriptors{};  // the machine may grant fewer than the configuration says
   if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
     start.sockets = std::min<std::size_t>(start.sockets, std::max<rlim_t>(descriptors.rlim_cur, 64));
@@ -44,6 +62,10 @@
                terms.path_groups.size(), terms.me, terms.routers);
 
   Timer signals(loop, [&] {
+    if (reading_asked != 0) {
+      reading_asked = 0;
+      read_again(start, service);
+    }
     if (stop_asked != 0) {
       stop_asked = 0;
       spdlog::info("told to stop");
@@ -62,6 +84,7 @@
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
   for (const int signal : {SIGTERM, SIGINT}) std::signal(signal, [](int) { stop_asked = 1; });
+  std::signal(SIGHUP, [](int) { reading_asked = 1; });
   Complaints complaints;
   Poco::ErrorHandler::set(&complaints);
   spdlog::set_default_logger(std::make_shared<spdlog::logger>("ashbeam", std::make_shared<LogSink>()));
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -1,6 +1,7 @@
 #include "routing/desk.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace ashbeam {
 
@@ -76,6 +77,21 @@
     answered_(Answer::kUnknown, nullptr);
   }
   if (next < Instant::never()) answers_.at(next);
+  end_if_retired();
+}
+
+void Desk::retire(std::function<void()> over) {
+  over_ = std::move(over);
+  again_.off();
+  end_if_retired();
+}
+
+void Desk::end_if_retired() {
+  if (!over_ || std::any_of(calls_.begin(), calls_.end(), [](const Call& c) { return c.vote; })) return;
+  silence_.off();
+  answers_.off();
+  if (connection_) connection_->close(), loop_.destroy_later(std::move(connection_));
+  loop_.later(std::exchange(over_, nullptr));
 }
 
 void Desk::bytes_came() {
@@ -83,7 +99,8 @@
   connection_->take(bytes.size());
   silence_.in(limits_.desk_silence);
   const bool good = lines_.feed(bytes, [&](std::string_view text) { return text.empty() || line(text); });
-  if (!good) lost("sends what can't be read");
+  if (!good) return lost("sends what can't be read");
+  end_if_retired();
 }
 
 bool Desk::line(std::string_view text) {
@@ -96,7 +113,7 @@
     if (!whole->member("id")) return false;
     answer(*whole);
   } else if (method != "ping") {
-    if (const auto params = whole->member("params")) news_(method, *params);
+    if (const auto params = whole->member("params"); params && !over_) news_(method, *params);
   }
   return true;
 }
@@ -132,6 +149,7 @@
   for (const Call& c : calls) {
     if (c.vote) answered_(fate, nullptr);
   }
+  if (over_) return end_if_retired();
   again_.in(wait_ * (0.5 + chance_.unit()));
   wait_ = std::min(wait_ * 2, limits_.retry_longest);
 }
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -24,6 +24,9 @@
   Desk(Loop& loop, const Limits& limits, std::string address, std::uint64_t seed, News news,
        Answered answered, Note note);
   void start() { open(); }
+  // The desk is elsewhere from now on: no more news from here and no new connection; `over`, after this
+  // returns, once every vote cast here has its answer or is given up.
+  void retire(std::function<void()> over);
   void vote(BuildId build, unsigned stage, Vote vote);  // `answered` comes after this returns
 
  private:
@@ -41,6 +44,7 @@
   bool line(std::string_view text);
   void answer(const Json& whole);
   void check();
+  void end_if_retired();
   Loop& loop_;
   const Limits& limits_;
   std::string address_;
@@ -55,6 +59,7 @@
   bool opened_ = false;
   unsigned tries_ = 0;  // since it was lost
   Span wait_;
+  std::function<void()> over_;  // once it is retired
   Timer silence_, again_, answers_;
 };
 
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -23,8 +23,15 @@
   return true;
 }
 
+void Discovery::move_to(const std::string& address) {
+  address_ = address;
+  drop();
+  if (following_) follow();
+}
+
 void Discovery::follow() {
-  if (connection_) connection_->close(), loop_.destroy_later(std::move(connection_));
+  following_ = true;
+  if (connection_) return;
   head_.clear();
   lines_.clear();
   in_body_ = false;
@@ -58,9 +65,13 @@
   if (got == http::Body::Got::kWhole) fail("ended");
 }
 
-void Discovery::fail(const char* why) {
+void Discovery::drop() {
   silence_.off();
   if (connection_) connection_->close(), loop_.destroy_later(std::move(connection_));
+}
+
+void Discovery::fail(const char* why) {
+  drop();
   failed_(why);
 }
 
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -19,19 +19,23 @@
   Discovery(Loop& loop, const Limits& limits, std::string address, Told told, Failed failed);
   // A list in discovery's form, from the watch or from elsewhere; false where it is none.
   bool take(std::string_view line);
-  void follow();  // begins a watch, in place of the one that stands; `failed` says once that it ended
+  void follow();  // begins a watch unless one stands; `failed` says once that it ended
+  // Discovery is elsewhere from now on: a watch that stands is begun anew there, from the last list had.
+  void move_to(const std::string& address);
 
  private:
   void bytes_came() override;
   void ended() override { fail("ended"); }
   void fail(const char* why);
+  void drop();
   Loop& loop_;
   const Limits& limits_;
   std::string address_;
   Told told_;
   Failed failed_;
   std::uint64_t version_ = 0;
-  bool any_ = false;  // a list was told
+  bool any_ = false;        // a list was told
+  bool following_ = false;  // has been asked to
   std::unique_ptr<Connection> connection_;
   http::Head head_;
   http::Body body_;
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -61,11 +61,6 @@
       discovery_(
           loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
           [this](const char* why) { list_lost(why); }),
-      desk_(
-          loop, limits, site.desk, site.seed,
-          [this](const std::string& method, const Json& params) { desk_said(method, params); },
-          [this](Answer answer, const Json* state) { vote_answered(answer, state); },
-          [this](const std::string& what) { note_("desk: " + what); }),
       stop_(loop, [this] { check_wound_down(); }), module_(make_router(terms, site.seed, *this)) {
   for (const PathGroup& g : terms.path_groups) repeats_.push_back(g.repeats);
 }
@@ -76,7 +71,7 @@
   tell([](Router& r) { r.started(); });
   if (!site_.known.empty() && !discovery_.take(site_.known)) note_("known list can't be read");
   if (const auto news = Json::parse(site_.news)) stage(*news, false);
-  desk_.start();
+  open_desk();
   ready_ = true;
 }
 
@@ -304,7 +299,16 @@
 
 // ---- The release desk ----
 
-void Service::vote(BuildId build, unsigned stage, Vote vote) { desk_.vote(build, stage, vote); }
+void Service::open_desk() {
+  desk_ = std::make_unique<Desk>(
+      loop_, limits_, site_.desk, site_.seed,
+      [this](const std::string& method, const Json& params) { desk_said(method, params); },
+      [this](Answer answer, const Json* state) { vote_answered(answer, state); },
+      [this](const std::string& what) { note_("desk: " + what); });
+  desk_->start();
+}
+
+void Service::vote(BuildId build, unsigned stage, Vote vote) { desk_->vote(build, stage, vote); }
 
 void Service::vote_answered(Answer answer, const Json* state) {
   if (answer == Answer::kTaken) return stage(*state, true);
@@ -360,6 +364,17 @@
 
 void Service::log(std::string_view line) { note_(line); }
 
+void Service::move_to(const std::string& discovery, const std::string& desk) {
+  if (discovery != site_.discovery) discovery_.move_to(site_.discovery = discovery);
+  if (desk == site_.desk) return;
+  site_.desk = desk;
+  retired_.push_back(std::move(desk_));
+  open_desk();
+  retired_.back()->retire([this, old = retired_.back().get()] {
+    std::erase_if(retired_, [&](const auto& one) { return one.get() == old; });
+  });
+}
+
 void Service::wind_down(std::function<void()> ended) {
   if (winding_down_) return;
   winding_down_ = true;
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -35,6 +35,8 @@
   void start();
   // Ends the program by and by: not ready, all that comes is answered, `ended` once nothing is left.
   void wind_down(std::function<void()> ended);
+  // Discovery and the release desk are elsewhere from now on; what was learnt stands.
+  void move_to(const std::string& discovery, const std::string& desk);
   std::uint16_t port() const { return callers_.port(); }
 
  private:
@@ -79,6 +81,7 @@
   void desk_said(const std::string& method, const Json& params);
   void stage(const Json& state, bool answers_vote);
   void vote_answered(Answer answer, const Json* state);
+  void open_desk();
   void overdue(HitId id);
 
   template <class What>
@@ -102,7 +105,8 @@
   Callers callers_;
   HostPools pools_;
   Discovery discovery_;
-  Desk desk_;
+  std::unique_ptr<Desk> desk_;
+  std::vector<std::unique_ptr<Desk>> retired_;  // of former addresses, until their votes are answered
   Slab<Hit> hits_;
   unsigned in_hand_ = 0;
   std::map<std::string, HostIndex, std::less<>> indices_;
--- a/src/terms/terms.hpp
+++ b/src/terms/terms.hpp
@@ -32,6 +32,7 @@
   bool flag(const std::string& path) const { return word(path, "false") == "true"; }
   std::vector<std::string> words(const std::string& path) const;  // of a list; none where it is missing
   std::vector<double> numbers(const std::string& path) const;
+  bool operator==(const Pairs&) const = default;
 
  private:
   std::map<std::string, std::string> values_;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -24,7 +24,6 @@
   explicit Accepted(int fd) : StreamSocket(new Poco::Net::StreamSocketImpl(fd)) {}
 };
 
-// POCO would ask the resolver for a name, and the loop would wait for it.
 Poco::Net::SocketAddress numeric(const std::string& address) {
   const std::size_t colon = std::min(address.rfind(':'), address.size());
   std::string host = address.substr(0, colon);
@@ -41,6 +40,14 @@
 
 }  // namespace
 
+bool is_address(const std::string& address) {
+  try {
+    return numeric(address).port() > 0;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
 Connection::Connection(Loop& loop, const Limits& limits, Owner& owner, const std::string& address)
     : loop_(loop), limits_(limits), owner_(owner) {
   try {
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -11,6 +11,9 @@
 
 namespace ashbeam {
 
+// Is it a numeric address with a port? POCO would ask the resolver for a name, and the loop would wait.
+bool is_address(const std::string& address);
+
 class Connection {
  public:
   // What the owner is told. None of these comes while the owner is in a call to the connection.
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -138,6 +138,8 @@
   std::unique_ptr<Service> service_;
   std::thread thread_;
   std::atomic<bool> stopping_ = false, wound_down_ = false;
+  std::atomic<const char*> new_desk_ = nullptr;  // once set, with new_discovery_: the router is to move
+  std::string new_discovery_;
   std::vector<std::string> notes_;  // read once the thread has ended
 
   std::string entry(int host, const std::string& state = "up", int build = 1,
@@ -165,6 +167,7 @@
     service_->start();
     thread_ = std::thread([this] {
       Timer look(loop_, [&] {
+        if (const char* const to = new_desk_.exchange(nullptr)) service_->move_to(new_discovery_, to);
         if (stopping_) service_->wind_down([this] { wound_down_ = true, loop_.stop(); });
         look.in(Span::ms(5));
       });
@@ -400,6 +403,29 @@
   }
 }
 
+TEST_F(RouterTest, ToldOfOtherAddressesItMovesAndLosesNothing) {
+  begin(all_hosts());
+  Stream d = discovery_.take(), s = desk_.take(), c = client();
+  d.say("HTTP/1.1 200 OK\r\n\r\n" + list(entry(0), 42) + "\n");
+  c.say(get());
+  Stream h = forward();
+  ASSERT_FALSE(h.message().empty());
+  const Door discovery, desk;
+  new_discovery_ = discovery.address();
+  const std::string at = desk.address();
+  new_desk_ = at.c_str();
+  EXPECT_TRUE(d.message().starts_with("GET") && d.ended());
+  EXPECT_FALSE(s.line().empty());
+  EXPECT_TRUE(s.ended());
+  Stream d2 = discovery.take(), s2 = desk.take();
+  EXPECT_TRUE(d2.message().starts_with("GET /registry/instances?follow=1&since=42 HTTP/1.1\r\nHost: " +
+                                       discovery.address()));
+  EXPECT_EQ(s2.line(), R"({"jsonrpc":"2.0","id":1,"method":"subscribe"})");
+  h.say(kOk);
+  EXPECT_EQ(status_of(c.message()), 200U);
+  EXPECT_FALSE(discovery_.asked(600) || desk_.asked(0));  // the old ones hear nothing more
+}
+
 TEST_F(RouterTest, WhatIsOddInListAndNewsIsPassedOver) {
   begin(all_hosts());
   Stream d = discovery_.take(), s = desk_.take();
@@ -595,6 +621,23 @@
   EXPECT_EQ(news_.size(), 1U);
 }
 
+TEST_F(DeskTest, ADeskLeftBehindStillAnswersTheVotesCastThere) {
+  bool over = false;
+  std::thread desk([this] {
+    Stream s = door_.take();
+    EXPECT_NE((s.line() + s.line()).find("abort"), std::string::npos);
+    s.say("{\"method\":\"NEWS\",\"params\":{}}\n");
+    usleep(50000);
+    s.say("{\"id\":2,\"result\":{}}\n");
+    EXPECT_TRUE(s.ended());
+    EXPECT_FALSE(door_.asked(200));
+  });
+  run([&](Desk& d) { d.vote(42, 1, Vote::kBack), d.retire([&] { over = true; }); }, [&] { return over; });
+  desk.join();
+  EXPECT_EQ(answers_, std::vector<Answer>{Answer::kTaken});
+  EXPECT_TRUE(news_.empty());
+}
+
 TEST_F(DeskTest, AVoteThatIsNeverWrittenHasFailed) {
   ::close(std::exchange(door_.fd, ::socket(AF_INET, SOCK_STREAM, 0)));  // nobody listens
   run([](Desk& d) { d.vote(42, 1, Vote::kOn); }, [this] { return !answers_.empty(); });
@@ -618,6 +661,14 @@
   const std::string start = R"({"seed":"8c1f","release_api":{"address":"127.0.0.1:1"},"settings":)";
   EXPECT_NE(complaint(start + "{}}").find("'grades.count'"), std::string::npos);
   EXPECT_NE(complaint(start + R"({"grades":[{"effect":"odd"}]}})").find("effect"), std::string::npos);
+  const std::string rest = R"("seed":"8c1f","settings":{},"release_api":{"address":)";
+  EXPECT_NE(complaint("{" + rest + R"("desk:1"}})").find("'release_api.address' is no numeric"),
+            std::string::npos);
+  EXPECT_NE(
+      complaint(R"({"discovery":"10.1",)" + rest + R"("1.2.3.4:5"}})").find("'discovery' is no numeric"),
+      std::string::npos);
+  EXPECT_EQ(start_from(R"({"discovery":"1.2.3.4:6",)" + rest + R"("1.2.3.4:5"}})", {}).site.discovery,
+            "1.2.3.4:6");
   try {
     read_start([](const char*) -> const char* { return nullptr; });
     FAIL();
