--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -18,6 +18,16 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), token_char);
 }
 
+bool control(char c) { return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == 0x7f; }
+
+bool good_field(std::string_view line) {
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos || !token(line.substr(0, colon))) return false;
+  // Guards against lengths and codings spelt with blanks that only some would pass over.
+  const std::string_view value = line.substr(colon + 1, line.size() - colon - 3);
+  return std::none_of(value.begin(), value.end(), control);
+}
+
 int hex_digit(char c) {
   if (c >= '0' && c <= '9') return c - '0';
   c = lower(c);
@@ -54,14 +64,20 @@
     if (raw_.size() >= most_) return Got::kTooLong;
     const char before = raw_.empty() ? '\0' : raw_.back();
     if ((c == '\n') != (before == '\r') || c == '\0') return Got::kBad;
+    if (line_from_ == 0 && !fits_first_line(c)) return Got::kBad;
     raw_.push_back(c);
     if (c != '\n') continue;
+    const std::string_view line = std::string_view(raw_).substr(line_from_);
     if (raw_.size() == 2) {  // an empty line before the first is passed over
       raw_.clear();
-    } else if (raw_.size() >= 4 && raw_[raw_.size() - 3] == '\n') {
+    } else if (line.size() == 2) {
       bytes.remove_prefix(used);
-      return split() ? Got::kWhole : Got::kBad;
+      split();
+      return Got::kWhole;
+    } else if (line_from_ > 0 && !good_field(line)) {
+      return Got::kBad;
     }
+    line_from_ = raw_.size();
   }
   bytes = {};
   return Got::kMore;
@@ -71,9 +87,17 @@
   raw_.clear();
   fields_.clear();
   first_ = {};
+  line_from_ = 0;
+}
+
+bool Head::fits_first_line(char c) const {
+  constexpr std::string_view kBegin = "HTTP/1.";
+  if (side_ == Side::kAnswer) return raw_.size() >= kBegin.size() || c == kBegin[raw_.size()];
+  if (raw_.find(' ') != std::string::npos) return true;
+  return raw_.size() < 32 && (token_char(c) || (raw_.empty() ? c == '\r' : c == ' ' || raw_ == "\r"));
 }
 
-bool Head::split() {
+void Head::split() {
   std::string_view rest = raw_;
   const auto line = [&] {
     const std::size_t end = rest.find("\r\n") + 2;
@@ -92,13 +116,10 @@
     Field f;
     f.line = line();
     const std::size_t colon = f.line.find(':');
-    if (colon == std::string_view::npos) return false;
     f.name = f.line.substr(0, colon);
-    if (!token(f.name)) return false;
     f.value = trimmed(f.line.substr(colon + 1, f.line.size() - colon - 3));
     fields_.push_back(f);
   }
-  return true;
 }
 
 std::optional<std::string_view> Head::find(std::string_view name) const {
@@ -269,12 +290,13 @@
 // known.
 unsigned Messages::plan_body() {
   if (side_ == Side::kRequests) {
-    if (!token(head_.word(0)) || head_.word(1).empty() || head_.word(1)[0] != '/') return 400;
-    if (head_.word(1).find_first_of("\t\x7f") != std::string_view::npos) return 400;
+    if (head_.word(0).empty() || head_.word(1).empty() || head_.word(1)[0] != '/') return 400;
+    if (!std::all_of(head_.word(1).begin(), head_.word(1).end(), [](char c) { return c > ' ' && c < 0x7f; }))
+      return 400;
     if (head_.word(2) != "HTTP/1.1") return head_.word(2).starts_with("HTTP/") ? 505 : 400;
   } else {
     const auto status = whole_number(head_.word(1));
-    if (!head_.word(0).starts_with("HTTP/1.") || !status || head_.word(1).size() != 3) return 400;
+    if (!status || head_.word(1).size() != 3) return 400;
     status_ = static_cast<unsigned>(*status);
   }
   const auto length = head_.find("Content-Length"), coding = head_.find("Transfer-Encoding");
@@ -321,6 +343,10 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 429:
@@ -335,6 +361,8 @@
       return "Bad Gateway";
     case 503:
       return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
     case 505:
       return "HTTP Version Not Supported";
     default:
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -30,11 +30,13 @@
   std::string_view name, value, line;  // the line with its end, as it came
 };
 
-// The lines up to and with the empty one. Only CR LF ends a line; a name holds no space.
+// The lines up to and with the empty one. Only CR LF ends a line; a name holds no space. What can't become a
+// head any more is refused at once: who sends noise and keeps the connection open is not waited for.
 class Head {
  public:
+  enum class Side { kRequest, kAnswer };
   enum class Got { kMore, kWhole, kTooLong, kBad };
-  explicit Head(std::size_t most) : most_(most) {}
+  Head(Side side, std::size_t most) : side_(side), most_(most) {}
   Got feed(std::string_view& bytes);  // takes from the front what belongs to it
   void clear();
 
@@ -48,8 +50,10 @@
   bool empty() const { return raw_.empty(); }
 
  private:
-  bool split();
-  std::size_t most_;
+  bool fits_first_line(char c) const;  // as the next of it
+  void split();
+  Side side_;
+  std::size_t most_, line_from_ = 0;
   std::string raw_;
   std::string_view first_, words_[3];
   std::vector<Field> fields_;
@@ -97,7 +101,8 @@
   enum class Side { kRequests, kAnswers };
   enum class Got { kMore, kWhole, kBad };
   Messages(Side side, std::size_t most_head, std::size_t most_body)
-      : side_(side), head_(most_head), body_(most_body) {}
+      : side_(side), head_(side == Side::kRequests ? Head::Side::kRequest : Head::Side::kAnswer, most_head),
+        body_(most_body) {}
   Got feed(std::string_view& bytes);
   Got stream_ended();  // the other side has closed: a body may end so
   void next();         // the message at hand is done with
--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -8,20 +8,23 @@
     : callers_(callers), place_(place), since_(callers.loop_.now()),
       connection_(callers.loop_, callers.limits_, *this, accepted),
       requests_(http::Messages::Side::kRequests, callers.limits_.head, callers.limits_.body),
-      timer_(callers.loop_, [this] { late(); }) {}
+      timer_(callers.loop_, [this] { late(); }) {
+  // Guards against clients that connect and say nothing, or never come to an end of what they say.
+  timer_.in(callers.limits_.first_request);
+}
 
 void Caller::bytes_came() {
-  if (at_ == At::kLingering) return connection_.take(connection_.unread().size());
   if (at_ != At::kReading) return;  // the next request waits for its turn
   std::string_view bytes = connection_.unread();
   if (bytes.empty()) return;
   const std::size_t had = bytes.size();
+  const bool begun = requests_.begun();
   const auto got = requests_.feed(bytes);
   connection_.take(had - bytes.size());
   if (got == http::Messages::Got::kMore) {
-    if (!timer_.armed() && requests_.begun()) {
+    if (!begun && requests_.begun()) {
       since_ = callers_.loop_.now();
-      timer_.in(callers_.limits_.request_read);
+      if (asked_) timer_.in(callers_.limits_.request_read);
     }
     return;
   }
@@ -46,6 +49,7 @@
 void Caller::answer(unsigned status, std::string_view fields, std::string_view body) {
   if (at_ != At::kAnswering) return;
   at_ = At::kWriting;
+  bad_ = status >= 400 && status < 500;
   last_ = last_ || callers_.winding_down_ || callers_.full();
   std::string bytes = "HTTP/1.1 " + std::to_string(status) + " ";
   bytes.append(http::reason(status)).append("\r\n").append(fields);
@@ -68,12 +72,22 @@
     at_ = At::kLingering;
     connection_.finish_writing();
     timer_.in(callers_.limits_.linger);
-    return connection_.take(connection_.unread().size());
+    return connection_.discard();
   }
-  at_ = At::kReading;
-  const bool more = !connection_.unread().empty();
+  asked_ = true;
   requests_.next();
-  if (more) timer_.at(since_);  // what came early is read after the call at hand
+  if (bad_) {  // guards against a client that sends the same again as soon as it is turned away
+    at_ = At::kPausing;
+    return timer_.in(callers_.limits_.turned_away);
+  }
+  at_ = At::kReading;
+  if (connection_.unread().empty()) return wait_for_more();
+  timer_.at(since_);  // what came early is read after the call at hand
+}
+
+void Caller::wait_for_more() {
+  const Limits& limits = callers_.limits_;
+  timer_.at(since_ + (callers_.crowded() ? limits.crowded_idle : limits.client_idle));
 }
 
 void Caller::ended() {
@@ -82,8 +96,18 @@
 }
 
 void Caller::late() {
+  if (at_ == At::kPausing) {
+    at_ = At::kReading;
+    if (connection_.unread().empty()) return wait_for_more();
+  }
   if (at_ == At::kReading && !connection_.unread().empty() && !requests_.begun()) return bytes_came();
+  if (at_ == At::kReading && requests_.begun()) {
+    at_ = At::kAnswering;
+    last_ = true;
+    return answer_plain(408);
+  }
   if (at_ == At::kAnswering) return callers_.overdue_(*this);
+  if (at_ == At::kReading && !connection_.quiet()) return timer_.in(callers_.limits_.settle);  // it comes
   callers_.remove(this);
 }
 
@@ -116,9 +140,11 @@
   for (const auto& c : callers_) {
     const bool begun = c->requests_.begun() && c->at_ == Caller::At::kReading;
     if (c->since_ > (begun ? idle_since - limits_.half_request : idle_since)) continue;
-    if (c->at_ != Caller::At::kLingering && (c->at_ != Caller::At::kReading || !c->connection_.quiet()))
-      continue;
-    if (!idlest || c->since_ < idlest->since_) idlest = c.get();
+    const bool waits = c->at_ == Caller::At::kReading || c->at_ == Caller::At::kPausing;
+    if (c->at_ != Caller::At::kLingering && !(waits && c->connection_.quiet())) continue;
+    const auto kept = [](const Caller& one) { return one.asked_ && one.at_ == Caller::At::kReading; };
+    if (!idlest || std::pair(kept(*c), c->since_) < std::pair(kept(*idlest), idlest->since_))
+      idlest = c.get();
   }
   if (idlest) remove(idlest);
   return idlest != nullptr;
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -29,16 +29,19 @@
 
  private:
   friend class Callers;
-  enum class At { kReading, kAnswering, kWriting, kLingering };
+  enum class At { kReading, kAnswering, kWriting, kPausing, kLingering };
   void bytes_came() override;
   void all_written() override;
   void ended() override;
   void written();
+  void wait_for_more();
   void late();
   Callers& callers_;
   std::size_t place_;
   At at_ = At::kReading;
-  bool last_ = false;  // the connection ends after this answer
+  bool last_ = false;   // the connection ends after this answer
+  bool asked_ = false;  // has had an answer
+  bool bad_ = false;    // the request at hand was turned away
   Instant since_;
   Connection connection_;
   http::Messages requests_;
@@ -64,8 +67,9 @@
   void make_room();
   void pause();
   bool full() const { return callers_.size() >= limits_.clients; }
-  // The one that has been idle longest, since then at least; guards against clients that hold connections and
-  // send nothing, or half a request.
+  bool crowded() const { return callers_.size() * 2 >= limits_.clients; }
+  // The one that has been idle longest, since then at least, one that never had an answer before one that
+  // has; guards against clients that hold connections and send nothing, or half a request.
   bool close_idlest(Instant idle_since);
   Loop& loop_;
   const Limits& limits_;
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -7,8 +7,9 @@
 
 Discovery::Discovery(Loop& loop, const Limits& limits, std::string address, Told told, Failed failed)
     : loop_(loop), limits_(limits), address_(std::move(address)), told_(std::move(told)),
-      failed_(std::move(failed)), head_(limits.head), body_(std::numeric_limits<std::size_t>::max()),
-      lines_(limits.list_line), silence_(loop, [this] { fail("silent"); }) {}
+      failed_(std::move(failed)), head_(http::Head::Side::kAnswer, limits.head),
+      body_(std::numeric_limits<std::size_t>::max()), lines_(limits.list_line),
+      silence_(loop, [this] { fail("silent"); }) {}
 
 bool Discovery::take(std::string_view line) {
   const auto list = Json::parse(line);
--- a/src/routing/host_pools.cpp
+++ b/src/routing/host_pools.cpp
@@ -121,10 +121,14 @@
 }
 
 HostPools::Link* HostPools::idle_link(HostIndex h) {
-  while (!hosts_[h].idle.empty()) {
-    Link* const link = hosts_[h].idle.back();
+  // Guards against answers with more right behind them: what comes late would be taken for the next answer.
+  const Instant settled = loop_.now() - limits_.host_settle;
+  auto& idle = hosts_[h].idle;
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    Link* const link = idle[i];
+    if (link->idle_since() > settled) continue;
     if (link->usable()) {
-      hosts_[h].idle.pop_back();
+      idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
       return link;
     }
     remove(link);  // the host has closed it, or will
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -36,6 +36,16 @@
   return lines;
 }
 
+// Is a figure that decisions need missing, or there twice, so that a host might take the other one?
+bool unclear(const http::Head& head, Repeats repeats, std::size_t longest_id) {
+  for (const char* name : {"X-Correlation-Id", "X-Time-Left-Ms", "Idempotency-Key"}) {
+    if (head.count(name) > 1) return true;
+  }
+  const auto id = head.find("X-Correlation-Id").value_or("");
+  return id.empty() || id.size() > longest_id || !head.find("X-Time-Left-Ms") ||
+         (repeats == Repeats::kTagged && head.find("Idempotency-Key").value_or("").empty());
+}
+
 // Calls back with each name=value of a comma-separated list whose value is a number.
 template <class What>
 void each_figure(std::string_view list, What&& what) {
@@ -61,7 +71,8 @@
       discovery_(
           loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
           [this](const char* why) { list_lost(why); }),
-      stop_(loop, [this] { check_wound_down(); }), module_(make_router(terms, site.seed, *this)) {
+      ids_(limits.ids), stop_(loop, [this] { check_wound_down(); }),
+      module_(make_router(terms, site.seed, *this)) {
   for (const PathGroup& g : terms.path_groups) repeats_.push_back(g.repeats);
 }
 
@@ -91,11 +102,16 @@
   const Repeats repeats = repeats_[group];
   const std::string method = repeats == Repeats::kRepeatable ? "GET" : "POST";
   if (head.word(0) != method) return caller.answer_plain(405, "Allow: " + method + "\r\n");
-  const auto id = head.find("X-Correlation-Id"), time_left = head.find("X-Time-Left-Ms");
-  const auto left_ms = time_left ? http::whole_number(*time_left) : std::nullopt;
-  if (!id || id->empty() || !left_ms ||
-      (repeats == Repeats::kTagged && head.find("Idempotency-Key").value_or("").empty()))
+  if (unclear(head, repeats, limits_.id)) return caller.answer_plain(400);
+  const auto left_ms = http::whole_number(*head.find("X-Time-Left-Ms"));
+  // What may run again has no body: a host might take one for a request behind it.
+  if (!left_ms || (repeats == Repeats::kRepeatable && !request.raw_body().empty()))
     return caller.answer_plain(400);
+  const Instant now = loop_.now(),
+                give_up_at = now + Span::ms(std::min(static_cast<double>(*left_ms), 3.6e6));
+  // Guards against a hit run twice since another client came with its id, during it or soon after.
+  if (!ids_.take(*head.find("X-Correlation-Id"), now, give_up_at + limits_.id_kept))
+    return caller.answer_plain(409);
 
   const HitId place = hits_.take();
   Hit& hit = hits_[place];
@@ -103,10 +119,10 @@
   hit.live = true;
   hit.caller = &caller;
   caller.hit = place;
-  hit.give_up_at = loop_.now() + Span::ms(std::min(static_cast<double>(*left_ms), 3.6e6));
+  hit.give_up_at = give_up_at;
   hit.head.assign(head.first_line()).append(kept_lines(head));
   hit.body = request.take_raw_body();
-  caller.answer_by(hit.give_up_at + limits_.overdue);
+  caller.answer_by(give_up_at + limits_.overdue);
   std::uint64_t key = 0;
   double hint = 0;
   if (const auto facts = head.find("X-Facts")) {
@@ -116,7 +132,6 @@
     });
   }
   const unsigned customer = index_of(door_.customers, head.find("X-Account").value_or(""));
-  const Instant give_up_at = hit.give_up_at;
   tell([&](Router& r) { r.taken(place, group, customer, key, give_up_at, hint); });
 }
 
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -14,6 +14,7 @@
 #include "routing/desk.hpp"
 #include "routing/discovery.hpp"
 #include "routing/host_pools.hpp"
+#include "routing/ids.hpp"
 #include "terms/terms.hpp"
 #include "transport/loop.hpp"
 
@@ -108,6 +109,7 @@
   std::unique_ptr<Desk> desk_;
   std::vector<std::unique_ptr<Desk>> retired_;  // of former addresses, until their votes are answered
   Slab<Hit> hits_;
+  Ids ids_;
   unsigned in_hand_ = 0;
   std::map<std::string, HostIndex, std::less<>> indices_;
   std::vector<Known> hosts_;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -96,6 +96,12 @@
   if (state_ == State::kOpen) ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
 }
 
+void Connection::discard() {
+  discarding_ = true;
+  std::string().swap(in_), taken_ = 0;
+  if (state_ == State::kOpen) watch(true, writing_);
+}
+
 void Connection::writable(const Told<WritableNotification>&) {
   if (state_ == State::kOpening) {
     int error = 0;
@@ -116,6 +122,11 @@
 void Connection::readable(const Told<ReadableNotification>&) {
   if (state_ == State::kOpening) return writable({});
   if (state_ != State::kOpen) return;
+  if (discarding_) {  // MSG_TRUNC: not even copied
+    const auto dropped = ::recv(socket_.impl()->sockfd(), nullptr, limits_.discard_at_once, MSG_TRUNC);
+    if (dropped == 0 || (dropped < 0 && errno != EAGAIN && errno != EINTR)) end();
+    return;
+  }
   if (taken_ > 0) in_.erase(0, taken_), taken_ = 0;
   const std::size_t had = in_.size();
   in_.resize(had + limits_.read_at_once);
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -39,6 +39,7 @@
   void take(std::size_t n);
   void write(std::string_view bytes);  // as much as goes at once, the rest when the other side reads
   void finish_writing();               // tells the other side that nothing more comes; reading goes on
+  void discard();                      // whatever else comes is dropped unseen, up to the end
   void close();                        // no callback comes after this
   // Has the other side closed, or sent something unasked? Looks at the socket itself, not at what was read.
   bool quiet() const;
@@ -61,7 +62,7 @@
   Owner& owner_;
   Poco::Net::StreamSocket socket_;
   State state_ = State::kOpening;
-  bool was_open_ = false, reading_ = false, writing_ = false, watched_ = false;
+  bool was_open_ = false, reading_ = false, writing_ = false, watched_ = false, discarding_ = false;
   std::string in_, out_;
   std::size_t taken_ = 0, written_ = 0;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);  // outlived by what was put off
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -65,6 +65,12 @@
       {ok + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na", 400},
       {ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
       {ok + "Content-Length: +1\r\n\r\na", 400},
+      {ok + "Content-Length: -1\r\n\r\na", 400},
+      {ok + "Content-Length: 1\r\nTransfer-Encoding:\x0b" + "chunked\r\n\r\n", 400},
+      {ok + "transfer-encoding:chunked\r\nCONTENT-LENGTH:3\r\n\r\n", 400},
+      {ok + "Transfer-Encoding : chunked\r\n", 400},  // at the line's end, not the head's
+      {"\x01noise", 400},
+      {"/ HTTP/1.1", 400},
       {ok + "Content-Length: 1,1\r\n\r\na", 400},
       {ok + "Content-Length: 99999999999999999999\r\n\r\n", 400},
       {ok + "Content-Length: 65\r\n\r\n", 413},
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -114,13 +114,18 @@
 std::string status_line(const std::string& status, const std::string& fields = "") {
   return "HTTP/1.1 " + status + " X\r\n" + fields + "Content-Length: 0\r\n\r\n";
 }
-std::string get(unsigned left_ms = 1500, const std::string& fields = "") {
-  return "GET /look/1?q HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: a1\r\nX-Time-Left-Ms: " +
-         std::to_string(left_ms) + "\r\n" + fields + "\r\n";
+std::string new_id() {
+  static int ids = 0;
+  return std::string("a").append(std::to_string(++ids));
 }
-std::string post(const std::string& group, unsigned left_ms = 1500) {
-  return "POST /" + group + " HTTP/1.1\r\nX-Correlation-Id: b2\r\nIdempotency-Key: k\r\nX-Time-Left-Ms: " +
-         std::to_string(left_ms) + "\r\nContent-Length: 3\r\n\r\nabc";
+std::string get(unsigned left_ms = 1500, const std::string& fields = "", const std::string& id = new_id()) {
+  return "GET /look/1?q HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: " + id +
+         "\r\nX-Time-Left-Ms: " + std::to_string(left_ms) + "\r\n" + fields + "\r\n";
+}
+std::string post(const std::string& group, unsigned left_ms = 1500, const std::string& id = new_id()) {
+  return "POST /" + group + " HTTP/1.1\r\nX-Correlation-Id: " + id +
+         "\r\nIdempotency-Key: k\r\nX-Time-Left-Ms: " + std::to_string(left_ms) +
+         "\r\nContent-Length: 3\r\n\r\nabc";
 }
 unsigned status_of(const std::string& answer) {
   return answer.size() > 12 ? static_cast<unsigned>(std::stoul(answer.substr(9, 3))) : 0;
@@ -210,11 +215,14 @@
   Stream c = client();
   for (const int round : {1, 2}) {  // the second on kept connections
     const std::string request =
-        get(900, "X-Account: shop\r\nX-Odd: \t v \r\nConnection: keep-alive, x-own\r\nX-Own: 1\r\n");
+        get(900, "X-Account: shop\r\nX-Odd: \t v \r\nConnection: keep-alive, x-own\r\nX-Own: 1\r\n",
+            std::string("r").append(std::to_string(round)));
     for (std::size_t at = 0; at < request.size(); at += 40) c.say(request.substr(at, 40)), usleep(300);
     Stream h = forward();
     const std::string got = h.message();
-    EXPECT_TRUE(got.starts_with("GET /look/1?q HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: a1\r\n")) << got;
+    EXPECT_TRUE(got.starts_with("GET /look/1?q HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: r" +
+                                std::to_string(round) + "\r\n"))
+        << got;
     EXPECT_NE(got.find("X-Odd: \t v \r\n"), std::string::npos);
     EXPECT_EQ(got.find("X-Own"), std::string::npos);
     const auto left = std::stoul(got.substr(got.find("X-Time-Left-Ms: ") + 16));
@@ -240,6 +248,7 @@
     ASSERT_FALSE(h.message().empty()) << i;
     h.say(kOk);
     ASSERT_EQ(status_of(c.message()), 200U);
+    usleep(10000);  // until it has settled
     if (i < 2) c.say(get());
   }
   const std::string change = list(entry(0, "up", 2), 42) + "\n";  // the same id, another build
@@ -354,6 +363,10 @@
       {"GET /look HTTP/1.1\r\nX-Time-Left-Ms: 500\r\n\r\n", 400},
       {"GET /look HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n", 400},
       {"GET /look HTTP/1.1\r\nX-Correlation-Id: a\r\nX-Time-Left-Ms: soon\r\n\r\n", 400},
+      {"GET /look" + head + "X-Correlation-Id: b\r\n\r\n", 400},
+      {"GET /look" + head + "X-Time-Left-Ms: 501\r\n\r\n", 400},
+      {"GET /look" + head + "Content-Length: 1\r\n\r\na", 400},
+      {"GET /look" + head + "X-Correlation-Id: " + std::string(200, 'x') + "\r\n\r\n", 400},
       {"POST /pay" + head + "Content-Length: 70000\r\n\r\n", 413},
       {"POST /pay" + head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
       {"GET /look" + head + "X: " + std::string(20000, 'x') + "\r\n\r\n", 431},
@@ -370,6 +383,78 @@
   EXPECT_EQ(forward(50).fd, -1);
 }
 
+TEST_F(RouterTest, AnIdIsTakenOnceWhileItsHitIsOpenAndSoonAfter) {
+  begin(all_hosts());
+  Stream c = client();
+  c.say(post("pay", 1500, "b"));
+  Stream h = forward();
+  EXPECT_FALSE(h.message().empty());
+  EXPECT_EQ(status_of(ask(post("pay", 1500, "b"))), 409U);
+  h.say(kOk);
+  EXPECT_EQ(status_of(c.message()), 200U);
+  EXPECT_EQ(status_of(ask(post("pay", 1500, "b"))), 409U);
+  EXPECT_EQ(forward(50).fd, -1);
+}
+
+TEST_F(RouterTest, WhoSaysNothingOrHalfIsClosedSoonAndWhoStaysIdleLater) {
+  limits_.first_request = limits_.request_read = Span::ms(200);
+  limits_.client_idle = Span::ms(500);
+  begin(all_hosts());
+  Stream silent = client(), half = client(), blank = client(), kept = client(), later = client();
+  half.say("GET /look HTT");
+  for (Stream* c : {&kept, &later}) {
+    c->say("GET /health/ready HTTP/1.1\r\n\r\n");
+    EXPECT_EQ(status_of(c->message()), 200U);
+  }
+  later.say("GET /lo");
+  for (int i = 0; i < 5; ++i) blank.say("\r\n"), usleep(60000);
+  EXPECT_TRUE(silent.ended(100) && blank.ended(100));
+  EXPECT_EQ(status_of(half.message(100)), 408U);
+  EXPECT_EQ(status_of(later.message(100)), 408U);
+  EXPECT_FALSE(kept.ended(50));
+  EXPECT_TRUE(kept.ended(600));
+}
+
+TEST_F(RouterTest, AHugeBodyIsReadAndDroppedAndTheErrorArrives) {
+  begin(all_hosts());
+  Stream c = client();
+  c.say(
+      "POST /pay HTTP/1.1\r\nX-Correlation-Id: a\r\nX-Time-Left-Ms: 500\r\nContent-Length: 60000000\r\n\r\n");
+  const std::string some(1 << 20, 'x');
+  for (int i = 0; i < 57; ++i) ASSERT_EQ(::send(c.fd, some.data(), some.size(), MSG_NOSIGNAL), 1 << 20) << i;
+  EXPECT_EQ(status_of(c.message()), 413U);
+}
+
+TEST_F(RouterTest, WhoIsTurnedAwayWaitsBeforeItsNextIsRead) {
+  begin(all_hosts());
+  Stream c = client();
+  std::string many;
+  for (int i = 0; i < 50; ++i) many += "GET /nowhere HTTP/1.1\r\n\r\n";
+  c.say(many);
+  int answers = 0;
+  for (const Instant until = loop_.now() + Span::ms(450); loop_.now() < until;)
+    answers += status_of(c.message(50)) == 404;
+  EXPECT_TRUE(answers >= 3 && answers <= 5) << answers;
+}
+
+TEST_F(RouterTest, MoreThanAnAnswerIsNeverTakenForTheNext) {
+  limits_.host_settle = Span::ms(100);
+  begin(list(entry(0), 41, true));
+  Stream c = client();
+  c.say(get());
+  Stream h = forward();
+  EXPECT_FALSE(h.message().empty());
+  h.say(std::string("HTTP/1.1 103 X\r\n\r\nHTTP/1.1 102 X\r\n\r\n") + kOk);
+  EXPECT_EQ(status_of(c.message()), 200U);
+  c.say(get());
+  Stream h2 = forward();  // not where more may still come
+  EXPECT_FALSE(h2.message().empty());
+  h.say(kOk);
+  EXPECT_TRUE(h.ended());
+  h2.say(kOk);
+  EXPECT_EQ(status_of(c.message()), 200U);
+}
+
 TEST_F(RouterTest, ABodyOfChunksGoesOnAsItCame) {
   begin(all_hosts());
   Stream c = client();
