Spoilt control answers drop their connection; hosts that come back start as new

Choice::learn weighed outcomes of a host's former process against its next one, and a host that came back after being gone kept its former judgement; host indices were never given back (gap.md).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -181,7 +181,7 @@
                  Instant last_start) override {
     if (h >= hosts_.size()) hosts_.resize(h + 1);
     Host& host = hosts_[h];
-    if (host.build != build || host.last_start != last_start || host.by_group.empty()) {
+    if (host.build != build || host.last_start != last_start || host.state == HostState::kGone) {
       const unsigned open = host.open;  // another process: what was learnt of the last one says nothing
       SlidingCount forwards = std::move(host.forwards);
       host = Host{};
@@ -273,11 +273,11 @@
     Host& host = hosts_[f.host];
     GroupFigures& group = groups_[hit.group];
     if (result == Result::kFull || result == Result::kMoot) return;
+    if (f.sent < host.last_start || f.build != host.build) return;  // of another process
     if (result == Result::kNoConnect || result == Result::kReset) last_trouble_ = now_;
     const bool failed = result != Result::kOk && result != Result::kCancelled;
     if (result == Result::kError) return blame_later(hit, f);
     if (result != Result::kCancelled) weigh(f.host, failed);
-    if (f.sent < host.last_start) return;
     if (result == Result::kOk) note(host, hit, 0), host.served.all += 1;
     if (result != Result::kOk && result != Result::kCancelled && result != Result::kTimeout) return;
     const double ms = took.ms();
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -151,9 +151,23 @@
   return out;
 }
 
+// Noise among good bytes is seldom good UTF-8.
+bool utf8(std::string_view s) {
+  for (std::size_t i = 0; i < s.size(); ++i) {
+    const auto first = static_cast<unsigned char>(s[i]);
+    const std::size_t more = first < 0x80 ? 0 : first < 0xe0 ? 1 : first < 0xf0 ? 2 : 3;
+    if ((first >= 0x80 && first < 0xc2) || first > 0xf4 || i + more >= s.size()) return false;
+    for (std::size_t end = i + more; i < end;) {
+      if ((static_cast<unsigned char>(s[++i]) & 0xc0U) != 0x80U) return false;
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
 std::optional<Json> Json::parse(std::string_view text) {
+  if (!utf8(text)) return std::nullopt;
   skip_blanks(text);
   std::string_view rest = text;
   if (!skip_value(rest, 0)) return std::nullopt;
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -24,7 +24,7 @@
 Answer answer_of(const std::string& error) {
   if (error == "Throttling") return Answer::kFull;
   if (error == "ConditionFailed") return Answer::kVoid;
-  return Answer::kFailed;
+  return error == "InternalFailure" || error == "ValidationError" ? Answer::kFailed : Answer::kUnknown;
 }
 
 }  // namespace
@@ -106,34 +106,40 @@
 bool Desk::line(std::string_view text) {
   const auto whole = Json::parse(text);
   if (!whole || !whole->is_object()) return false;
-  wait_ = limits_.retry_first;
   if (tries_ > 0) note_("connection stands again, tries " + std::to_string(tries_)), tries_ = 0;
   const std::string method = whole->text("method");
   if (method.empty()) {
-    if (!whole->member("id")) return false;
-    answer(*whole);
-  } else if (method != "ping") {
-    if (const auto params = whole->member("params"); params && !over_) news_(method, *params);
+    return answer(*whole);
+  }
+  if (method != "ping") {
+    const auto params = whole->member("params");
+    if (!params || (!over_ && !news_(method, *params))) return false;
   }
+  wait_ = limits_.retry_first;
   return true;
 }
 
 // Answers come in the calls' order: one that names a later call leaves those before it without any.
-void Desk::answer(const Json& whole) {
-  const double id = whole.number("id", 0);
+bool Desk::answer(const Json& whole) {
+  const double id = whole.number("id", -1);
+  const auto result = whole.member("result"), error = whole.member("error");
+  const auto known = [id](const Call& c) { return static_cast<double>(c.id) == id; };
+  if (!result == !error || std::none_of(calls_.begin(), calls_.end(), known)) return false;
   while (!calls_.empty() && static_cast<double>(calls_.front().id) <= id) {
     const Call at_hand = calls_.front();
     calls_.pop_front();
     if (!at_hand.vote) continue;
-    const auto result = whole.member("result"), error = whole.member("error");
-    if (static_cast<double>(at_hand.id) < id || (!result && !error)) {
+    if (static_cast<double>(at_hand.id) < id) {
       answered_(Answer::kUnknown, nullptr);
     } else if (error) {
-      answered_(answer_of(error->text("message")), nullptr);
-    } else {
-      answered_(Answer::kTaken, &*result);
+      const Answer fate = answer_of(error->text("message"));
+      answered_(fate, nullptr);
+      if (fate == Answer::kUnknown) return false;
+    } else if (!answered_(Answer::kTaken, &*result)) {
+      return false;
     }
   }
+  return true;
 }
 
 void Desk::lost(const char* why) {
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -17,8 +17,9 @@
 
 class Desk : public Connection::Owner {
  public:
-  using News = std::function<void(const std::string& method, const Json& params)>;
-  using Answered = std::function<void(Answer, const Json* state)>;  // the state comes with kTaken
+  // Both say whether what came could be read; if not, its connection is of no further use.
+  using News = std::function<bool(const std::string& method, const Json& params)>;
+  using Answered = std::function<bool(Answer, const Json* state)>;  // the state comes with kTaken
   using Note =
       std::function<void(const std::string& what)>;  // once when it is lost, once when it stands again
   Desk(Loop& loop, const Limits& limits, std::string address, std::uint64_t seed, News news,
@@ -42,7 +43,7 @@
   void lost(const char* why);
   void call(const char* method, const std::string& params, bool vote);
   bool line(std::string_view text);
-  void answer(const Json& whole);
+  bool answer(const Json& whole);
   void check();
   void end_if_retired();
   Loop& loop_;
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -1,6 +1,5 @@
 #include "routing/discovery.hpp"
 
-#include <cstdint>
 #include <limits>
 
 namespace ashbeam {
@@ -11,16 +10,33 @@
       body_(std::numeric_limits<std::size_t>::max()), lines_(limits.list_line),
       silence_(loop, [this] { fail("silent"); }) {}
 
+namespace {
+
+bool readable(const Json& entry) {
+  const std::string state = entry.text("state");
+  return !entry.text("uid").empty() && (state == "up" || state == "draining" || state == "removed") &&
+         entry.number("release", -1) >= 0;
+}
+
+}  // namespace
+
 bool Discovery::take(std::string_view line) {
   const auto list = Json::parse(line);
   if (!list || !list->is_object()) return false;
   const auto entries = list->member("targets");
   const double version = list->number("rev", -1);
-  if (!entries || !entries->is_list() || version < 0) return false;
   const auto whole = list->member("all");
-  version_ = static_cast<std::uint64_t>(version);
+  if (!entries || !entries->is_list() || !whole || !whole->truth() || version < 0 || version > 9e15)
+    return false;
+  // Guards against entries spoilt on their way: asked for again, the line comes whole. If it does not, that
+  // is how discovery has it, and the rest counts.
+  bool good = true;
+  entries->each_item([&](const Json& entry) { good = good && readable(entry); });
+  const auto at = static_cast<std::uint64_t>(version);
+  if (!good && doubted_ != at) return doubted_ = at, false;
+  version_ = at;
   any_ = true;
-  told_(whole && whole->truth().value_or(false), *entries);
+  told_(*whole->truth(), *entries);
   return true;
 }
 
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -1,5 +1,6 @@
 // The watch on discovery's list: one connection that stays open and brings a line for each change.
 #pragma once
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -33,7 +34,7 @@
   std::string address_;
   Told told_;
   Failed failed_;
-  std::uint64_t version_ = 0;
+  std::uint64_t version_ = 0, doubted_ = UINT64_MAX;
   bool any_ = false;        // a list was told
   bool following_ = false;  // has been asked to
   std::unique_ptr<Connection> connection_;
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -194,6 +194,7 @@
   const std::string bytes = hit.head + "X-Time-Left-Ms: " + std::to_string(left_ms) + "\r\n\r\n" + hit.body;
   hit.legs.push_back({host, now, nullptr});
   ++hit.out;
+  ++hosts_[host].out;
   hit.legs.back().link =
       pools_.send(host, bytes, until, [this, id, leg](Result result, const http::Messages* answer) {
         forward_ended(id, leg, result, answer);
@@ -214,6 +215,7 @@
   forward.link = nullptr;
   --hit.out;
   const HostIndex host = forward.host;
+  --hosts_[host].out;
   const Span took = loop_.now() - forward.sent;
   bool terminal = false;
   if (result == Result::kOk) {
@@ -266,14 +268,28 @@
   entries.each_item([this](const Json& entry) { list_entry(entry); });
   if (whole) {
     for (HostIndex h = 0; h < hosts_.size(); ++h) {
-      if (!hosts_[h].listed) pools_.place(h, hosts_[h].address, false, false);
+      if (hosts_[h].listed || hosts_[h].gone_at < Instant::never()) continue;
+      hosts_[h].gone_at = loop_.now();
+      pools_.place(h, hosts_[h].address, false, false);
     }
   }
   tell([](Router& r) { r.list_end(); });
+  forget_hosts();
   if (watch_tries_ > 0) note_("discovery: watch stands again, tries " + std::to_string(watch_tries_));
   watch_tries_ = 0;
 }
 
+// Guards against a fleet whose ids are always new: the places of hosts long gone are used again.
+void Service::forget_hosts() {
+  const Instant long_ago = loop_.now() - limits_.host_forgotten;
+  std::erase_if(indices_, [&](const auto& named) {
+    const Known& known = hosts_[named.second];
+    const bool over = !known.listed && known.out == 0 && known.gone_at <= long_ago;
+    if (over) free_hosts_.push_back(named.second);
+    return over;
+  });
+}
+
 void Service::list_entry(const Json& entry) {
   const std::string name = entry.text("uid"), state = entry.text("state");
   if (name.empty() || (state != "up" && state != "draining" && state != "removed")) {
@@ -281,17 +297,25 @@
                  std::string(entry.raw().substr(0, 200)));
   }
   const auto found = indices_.find(name);
-  const auto host = found != indices_.end() ? found->second : static_cast<HostIndex>(hosts_.size());
-  if (found == indices_.end()) {
+  auto host = static_cast<HostIndex>(hosts_.size());
+  if (found != indices_.end()) {
+    host = found->second;
+  } else {
+    if (state == "removed") return;
+    if (free_hosts_.empty()) hosts_.emplace_back();
+    else host = free_hosts_.back(), free_hosts_.pop_back();
+    hosts_[host] = {};
     indices_.emplace(name, host);
-    hosts_.emplace_back();
   }
   Known& known = hosts_[host];
   std::string address = entry.text("endpoint");
   if (address.empty()) address = known.address;
   const double build = entry.number("release", known.build), started = entry.number("boot_ms", 0);
   const bool fresh = address != known.address || build != known.build || started != known.started;
-  known = {address, build, started, true};
+  const bool gone = state == "removed";
+  if (gone && known.listed) known.gone_at = loop_.now();
+  if (!gone) known.gone_at = Instant::never();
+  known.address = address, known.build = build, known.started = started, known.listed = !gone;
   pools_.place(host, address, fresh, state == "up");
   const auto place = [&](const std::vector<std::string>& names, const char* field) {
     const unsigned at = index_of(names, listed_name(entry.text(field)));
@@ -317,20 +341,21 @@
 void Service::open_desk() {
   desk_ = std::make_unique<Desk>(
       loop_, limits_, site_.desk, site_.seed,
-      [this](const std::string& method, const Json& params) { desk_said(method, params); },
-      [this](Answer answer, const Json* state) { vote_answered(answer, state); },
+      [this](const std::string& method, const Json& params) { return desk_said(method, params); },
+      [this](Answer answer, const Json* state) { return vote_answered(answer, state); },
       [this](const std::string& what) { note_("desk: " + what); });
   desk_->start();
 }
 
 void Service::vote(BuildId build, unsigned stage, Vote vote) { desk_->vote(build, stage, vote); }
 
-void Service::vote_answered(Answer answer, const Json* state) {
+bool Service::vote_answered(Answer answer, const Json* state) {
   if (answer == Answer::kTaken) return stage(*state, true);
   tell([&](Router& r) { r.stage_told(0, 0, Phase::kTrial, true, answer, 0, Span()); });
+  return true;
 }
 
-void Service::stage(const Json& state, bool answers_vote) {
+bool Service::stage(const Json& state, bool answers_vote) {
   static const std::vector<std::string> phases{"trial", "rolling_back", "released", "withdrawn"};
   const unsigned phase = index_of(phases, state.text("progress"));
   const double build = state.number("image", -1), at = state.number("ring", -1),
@@ -338,15 +363,16 @@
   if (phase >= phases.size() || build < 0 || build > 65535 || at < 0 || at > 255 || cap < 0) {
     note_("desk: a state that can't be read is passed over: " + std::string(state.raw().substr(0, 200)));
     if (answers_vote) vote_answered(Answer::kUnknown, nullptr);
-    return;
+    return false;
   }
   tell([&](Router& r) {
     r.stage_told(static_cast<BuildId>(build), static_cast<unsigned>(at), static_cast<Phase>(phase),
                  answers_vote, Answer::kTaken, cap, Span::ms(std::max(0.0, state.number("lag_ms", 0))));
   });
+  return true;
 }
 
-void Service::desk_said(const std::string& method, const Json& params) {
+bool Service::desk_said(const std::string& method, const Json& params) {
   const Span age = Span::ms(std::max(0.0, params.number("lag_ms", 0)));
   if (method == "ROLLOUT") return stage(params, false);
   const unsigned group = index_of(door_.path_groups, params.text("type"));
@@ -364,7 +390,11 @@
   } else {
     note_("desk: news that can't be used is passed over: " + method + " " +
           std::string(params.raw().substr(0, 200)));
+    // Guards against words spoilt on their way: what stands is told anew on a new connection. News of the
+    // same unknown kind a second time is no accident.
+    if (method != "SAMPLE" && method != "DISPUTE") return doubted_ == method || (doubted_ = method, false);
   }
+  return true;
 }
 
 // ---- The rest ----
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -39,6 +39,7 @@
   // Discovery and the release desk are elsewhere from now on; what was learnt stands.
   void move_to(const std::string& discovery, const std::string& desk);
   std::uint16_t port() const { return callers_.port(); }
+  std::size_t host_places() const { return hosts_.size(); }
 
  private:
   struct Leg {
@@ -58,6 +59,8 @@
     std::string address;
     double build = 0, started = 0;
     bool listed = false;
+    unsigned out = 0;  // forwards
+    Instant gone_at;
   };
 
   // What the module does.
@@ -78,10 +81,11 @@
   void forward_ended(HitId id, unsigned leg, Result result, const http::Messages* answer);
   void listed(bool whole, const Json& entries);
   void list_entry(const Json& entry);
+  void forget_hosts();
   void list_lost(const char* why);
-  void desk_said(const std::string& method, const Json& params);
-  void stage(const Json& state, bool answers_vote);
-  void vote_answered(Answer answer, const Json* state);
+  bool desk_said(const std::string& method, const Json& params);
+  bool stage(const Json& state, bool answers_vote);
+  bool vote_answered(Answer answer, const Json* state);
   void open_desk();
   void overdue(HitId id);
 
@@ -113,9 +117,11 @@
   unsigned in_hand_ = 0;
   std::map<std::string, HostIndex, std::less<>> indices_;
   std::vector<Known> hosts_;
+  std::vector<HostIndex> free_hosts_;
   std::vector<float> report_;
   std::map<std::uint64_t, std::unique_ptr<Timer>> wakes_;
   unsigned watch_tries_ = 0;  // since it was lost
+  std::string doubted_;       // news of an unknown kind, met once
   bool ready_ = false, winding_down_ = false;
   Instant stop_at_;
   Timer stop_;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -324,6 +324,35 @@
   for (const auto& s : w.sink.sent) EXPECT_GE(s.host, 2u);
 }
 
+TEST(Hosts, OutcomesOfAFormerProcessSayNothingOfTheNextOne) {
+  World w(usual_terms(), 4);
+  for (int i = 0; i < 40; ++i) w.take();
+  w.router->list_begin(false);
+  for (HostIndex h = 0; h < 4; ++h) w.router->list_host(h, HostState::kReady, 2, h % 2, h, 0, Instant());
+  w.router->list_end();
+  const auto sent = w.sink.sent;  // more follows as these end
+  for (std::size_t i = 0; i < 40; ++i) w.end(sent[i], Result::kReset);
+  EXPECT_FALSE(w.sink.logged("out for"));
+}
+
+TEST(Hosts, OneThatWasGoneComesBackAsNew) {
+  World w(usual_terms(), 4);
+  w.serve = [](BuildId, HostIndex h) { return World::Outcome{h == 0 ? Result::kReset : Result::kOk}; };
+  w.run(Span::s(2), 200);
+  ASSERT_TRUE(w.sink.logged("host 0 out for"));
+  w.serve = [](BuildId, HostIndex) { return World::Outcome{}; };
+  for (const HostState state : {HostState::kGone, HostState::kReady}) {
+    w.router->list_begin(false);
+    w.router->list_host(0, state, 1, 0, 0, 0, Instant());
+    w.router->list_end();
+  }
+  const std::size_t from = w.sink.sent.size();
+  w.run(Span::ms(300), 200);
+  std::size_t there = 0;
+  for (std::size_t i = from; i < w.sink.sent.size(); ++i) there += w.sink.sent[i].host == 0;
+  EXPECT_GE(there, 5u);
+}
+
 TEST(Hosts, AColdHostGetsLessThanAWarmOne) {
   World w(usual_terms(), 8);
   w.run(Span::s(2), 400);
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -131,8 +131,9 @@
 }
 
 TEST(Json, WhatIsNoneIsRefused) {
-  for (const char* text : {"", "{", "{\"a\"}", "{\"a\":}", "[1,]", "[1 2]", "01", "1.", "-", "1e", "\"\\x\"",
-                           "\"\\u12g4\"", "\"a\nb\"", "tru", "{}x", "{a:1}", "\"open"}) {
+  for (const char* text : {"",    "{",     "{\"a\"}", "{\"a\":}", "[1,]",        "[1 2]",       "01",
+                           "1.",  "-",     "1e",      "\"\\x\"",  "\"\\u12g4\"", "\"a\nb\"",    "tru",
+                           "{}x", "{a:1}", "\"open",  "\"\xff\"", "\"\xc3\"",    "\"\xe2\x82\""}) {
     EXPECT_FALSE(Json::parse(text)) << text;
   }
   EXPECT_FALSE(Json::parse(std::string(100, '[') + std::string(100, ']')));
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -455,6 +455,34 @@
   EXPECT_EQ(status_of(c.message()), 200U);
 }
 
+TEST_F(RouterTest, PlacesOfHostsThatAreGoneAreUsedAgainOnceNothingNamesThem) {
+  limits_.host_forgotten = Span();
+  begin(list(entry(0), 41, true));
+  Stream d = discovery_.take(), c = client();
+  d.say("HTTP/1.1 200 OK\r\n\r\n");
+  c.say(get());
+  Stream h = forward();
+  EXPECT_FALSE(h.message().empty());
+  const auto come_and_go = [&](int rev) {
+    const std::string one = std::string("n").append(std::to_string(rev)) + R"(","state":")";
+    d.say(list(R"({"uid":")" + one + R"(up","endpoint":"127.0.0.1:1","release":1})", rev) + "\n" +
+          list(R"({"uid":")" + one + R"(removed","release":1})", rev) + "\n");
+  };
+  d.say(list(entry(0, "removed"), 42) + "\n");
+  for (int rev = 43; rev < 60; ++rev) come_and_go(rev);
+  usleep(100000);
+  EXPECT_EQ(service_->host_places(), 2U);  // the first still has a forward out
+  h.say(kOk);
+  EXPECT_EQ(status_of(c.message()), 200U);
+  d.say(list(entry(1), 60) + "\n");
+  usleep(50000);
+  c.say(get());
+  Stream h1 = forward();
+  EXPECT_FALSE(h1.message().empty());
+  h1.say(kOk);
+  EXPECT_EQ(status_of(c.message()), 200U);
+}
+
 TEST_F(RouterTest, ABodyOfChunksGoesOnAsItCame) {
   begin(all_hosts());
   Stream c = client();
@@ -511,16 +539,28 @@
   EXPECT_FALSE(discovery_.asked(600) || desk_.asked(0));  // the old ones hear nothing more
 }
 
-TEST_F(RouterTest, WhatIsOddInListAndNewsIsPassedOver) {
+TEST_F(RouterTest, WhatIsOddInListAndNewsIsAskedForAgainAndThenPassedOver) {
+  limits_.retry_first = Span::ms(10);
   begin(all_hosts());
-  Stream d = discovery_.take(), s = desk_.take();
-  d.say("HTTP/1.1 200 OK\r\n\r\n" +
-        list(R"({"uid":"x","state":"melted"},{"state":"up"},7,{"uid":"h9","state":"up"})", 42) + "\n");
-  EXPECT_EQ(s.line(), R"({"jsonrpc":"2.0","id":1,"method":"subscribe"})");
+  for (const char* since : {"since=41", "since=41", "since=42"}) {
+    Stream d = discovery_.take();
+    EXPECT_NE(d.message().find(since), std::string::npos);
+    d.say("HTTP/1.1 200 OK\r\n\r\n" +
+          list(R"({"uid":"x","state":"melted"},{"state":"up"},7,{"uid":"h9","state":"up"})", 42) + "\n");
+    if (since[7] == '1') d.shut();
+  }
+  for (const char* odd : {"{\"method\":\"ROLLOUT\",\"params\":{\"image\":1,\"progress\":\"lost\"}}\n",
+                          "{\"method\":\"NEW\",\"params\":{}}\n", "{\"id\":77,\"result\":true}\n"}) {
+    Stream s = desk_.take();
+    s.say(odd);
+    EXPECT_TRUE(!s.line().empty() && s.ended()) << odd;
+  }
+  Stream s = desk_.take();
+  EXPECT_EQ(s.line(), R"({"jsonrpc":"2.0","id":4,"method":"subscribe"})");
   s.say(
-      "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":true}\n{\"method\":\"SAMPLE\",\"params\":{\"type\":\"none\"}}"
+      "{\"jsonrpc\":\"2.0\",\"id\":4,\"result\":true}\n{\"method\":\"SAMPLE\",\"params\":{\"type\":\"none\"}}"
       "\n"
-      "{\"method\":\"ROLLOUT\",\"params\":{\"image\":1,\"progress\":\"lost\"}}\n{\"method\":\"DISPUTE\","
+      "{\"method\":\"DISPUTE\","
       "\"params\":"
       "{\"host\":\"h1\",\"type\":\"look\",\"lag_ms\":5}}\n{\"method\":\"NEW\",\"params\":{}}\n{\"method\":"
       "\"ping\"}\n");
@@ -639,8 +679,13 @@
         loop_, limits_, door_.address(), 3,
         [this](const std::string& method, const Json& params) {
           news_.push_back(method + std::string(params.raw()));
+          return true;
+        },
+        [this](Answer a, const Json* state) {
+          answers_.push_back(a);
+          return !state || state->is_object();
         },
-        [this](Answer a, const Json*) { answers_.push_back(a); }, [](const std::string&) {});
+        [](const std::string&) {});
     desk.start();
     int rounds = 0;
     Timer look(loop_, [&] {
