Patience before 'on' follows the stage's bake; a vote that may be lost is cast again soon

Excluded: harm (no step back on two of three routers), votes refused, hosts cold (warmAfterMs 1000). At fault: kQuietStep, kQuietForOn and kPastNewestStart stood for stages that bake 2 s, whatever the settings say (here bakeMs 1200; terms.bake was read and never used); and after a vote without an answer the module waited one to three vote gaps, 1.2 to 3.6 s at callsPerS 5. Now those spans shrink with the stage's bake, never grow, and a vote that failed or has no answer is cast again after a quarter of that wait. Deployments that bake 2 s, all grown ones among them, keep their patience. Could do harm: a bad build meets fewer outcomes at a stage; the platform's own bake is the guard.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,6 +25,7 @@
 // The design's marks.
 constexpr double kFirstShare = 0.3, kShareStep = 0.2;
 constexpr Span kQuietStep = Span::s(1), kQuietForOn = Span::s(2), kPastNewestStart = Span::s(3);
+constexpr Span kUsualBake = Span::s(2);  // these spans are for such a stage; a shorter one shortens them
 constexpr double kModerateSlow = 1.25, kFewOutcomes = 20, kEnoughTimes = 30;
 constexpr double kModeratePoints = 0.02, kSeverePoints = 0.05, kModerateFails = 3, kSevereFails = 5;
 // Evidence, as a log-likelihood ratio, beyond the marks: what a few judges need; more judges for each vote
@@ -148,9 +149,9 @@
         vote_gap_(Span::s(2.0 * t.routers / std::max(t.votes_per_s, 1.0))), start_capacity_(t.start_capacity),
         further_most_(std::max(kFurtherMost / t.routers, 2 * kCopyCost)), anew_part_(kAnew / t.routers),
         crowd_(std::log(std::max(1.0, t.routers / (kFewJudges * std::max(t.back_needed, 1U))))),
-        sure_(kSure + 2 * crowd_), cross_price_(t.cross_price), over_share_worth_(t.over_share_worth),
-        first_cap_(t.caps.front()), spare_(t.spare), reported_share_(t.reported_share), rings_(t.rings),
-        closed_stages_(t.closed_stages) {
+        sure_(kSure + 2 * crowd_), pace_(std::clamp(t.bake / kUsualBake, 0.3, 1.0)),
+        cross_price_(t.cross_price), over_share_worth_(t.over_share_worth), first_cap_(t.caps.front()),
+        spare_(t.spare), reported_share_(t.reported_share), rings_(t.rings), closed_stages_(t.closed_stages) {
     for (const PathGroup& g : t.path_groups) {
       groups_.push_back({g.repeats, g.group, g.target, g.memory, g.benefit, g.target.ms() / 6, {}, {}});
     }
@@ -230,7 +231,8 @@
     if (answers_vote && answer != Answer::kTaken) {
       // No news with it. Void, full or failed: nothing stands. No answer: it may stand, so it is cast again.
       standing_ = Vote::kNone;
-      next_vote_ = now_ + vote_gap_ * (1 + 2 * chance_.unit());
+      const double wait = answer < Answer::kFailed ? 1 : 0.25;
+      next_vote_ = now_ + vote_gap_ * (wait * (1 + 2 * chance_.unit()));
       return;
     }
     if (told_ && build < build_) return;
@@ -515,7 +517,7 @@
     if (harm == Harm::kModerate) {
       if (harm_from_ == Instant()) harm_from_ = now_;
       last_harm_ = now_;
-    } else if (now_ - last_harm_ >= kQuietStep) {
+    } else if (now_ - last_harm_ >= kQuietStep * pace_) {
       harm_from_ = Instant();
     }
     if (phase_ == Phase::kReleased) return;
@@ -532,7 +534,7 @@
     }
     stepped_back_ = false;
     if (trial_ready_ == 0) quiet_from_ = now_;  // nothing to be quiet about yet
-    if (now_ - quiet_from_ >= kQuietStep && share_ < 1) {
+    if (now_ - quiet_from_ >= kQuietStep * pace_ && share_ < 1) {
       share_ = std::min(1.0, share_ + kShareStep);
       quiet_from_ = now_;
       if (share_ >= 1) log("full share: build %u stage %u", build_, stage_);
@@ -544,9 +546,10 @@
   // Patient: two quiet seconds at the full cap, and three past the newest trial start, of which the stage's
   // clock has then run two.
   bool ready_for_on() {
-    if (share_ < 1 || now_ - full_from_ < kQuietForOn || trial_ready_ == 0) return false;
+    if (share_ < 1 || now_ - full_from_ < kQuietForOn * pace_ || trial_ready_ == 0) return false;
     const Span in_stage = now_ - stage_since_;
-    if (in_stage < kPastNewestStart + Span::s(1) || now_ - newest_start_ < kPastNewestStart) return false;
+    const Span past = kPastNewestStart * pace_;
+    if (in_stage < past + Span::s(pace_) || now_ - newest_start_ < past) return false;
     const double places = static_cast<double>(rolling_ ? trial_ready_ + earlier_ready_
                                                        : std::max(trial_ready_, earlier_ready_));
     const double due = stage_ < rings_.size() ? rings_[stage_] * places : places;
@@ -715,7 +718,7 @@
     send(hit, to);
   }
 
-  void send(Hit& hit, Pick to) {
+  void send(Hit& hit, Pick to, bool last = false) {
     Host& host = hosts_[to.host];
     hit.leg[hit.legs++] = {to.host, host.build, now_, to.predicted_ms, 1.0 * host.open, true, true};
     if (host.open++ == 0) host.open_since = now_;
@@ -726,7 +729,8 @@
     hit.due = hit.give_up_at;
     hit.at_due = &Choice::give_up;
     const GroupFigures& group = groups_[hit.group];
-    if (group.repeats != Repeats::kMutating && hit.legs < max_forwards_ && (may_copy_ || may_cancel_)) {
+    if (!last && group.repeats != Repeats::kMutating && hit.legs < max_forwards_ &&
+        (may_copy_ || may_cancel_)) {
       const double target = group.target.ms();
       const Span patience = Span::ms(std::clamp(3 * to.predicted_ms, 0.35 * target, 0.65 * target));
       if (now_ + patience + kBeat < hit.give_up_at) {
@@ -746,9 +750,7 @@
     if (!to || to.predicted_ms > (hit.late_at - now_).ms()) return;
     further_ -= kCopyCost;
     if (!may_copy_) return sink_.cancel(hit.id, hit.legs - 1);
-    send(hit, to);
-    hit.due = hit.give_up_at;
-    hit.at_due = &Choice::give_up;
+    send(hit, to, true);
   }
 
   void after_forward(Hit& hit, Result) {
@@ -846,19 +848,17 @@
     }
     const Span long_window = std::max(window_, cold_window_);
     double in = 0, ability = 0;
-    ability_ = 0;
+    ability_ = 0, ejected_ = 0, usual_fails_ = {};
     for (GroupFigures& g : groups_) in += static_cast<double>(g.taken.from(now_ - long_window + tick_));
     std::fill(kind_.begin(), kind_.end(), Kind{});
-    ejected_ = 0;
-    usual_fails_ = {};
     for (HostIndex h = 0; h < hosts_.size(); ++h) {
       Host& host = hosts_[h];
       if (host.state != HostState::kReady) continue;
       // A host that takes hits and answers none: its silence counts as failures, one for each long wait.
       const Span silence = now_ - std::max(host.last_heard, host.open_since);
       const Span usual = Span::ms(unit_ms(host) * (kFreeLoad + host.open));
-      const bool silent = host.open > 0 && silence > std::max(Span::ms(800), usual * 4);
-      if (silent) host.last_heard = now_, weigh(h, true);
+      if (host.open > 0 && silence > std::max(Span::ms(800), usual * 4))
+        host.last_heard = now_, weigh(h, true);
       if (host.ejected && now_ >= host.rest_until && host.suspicion <= 0) {
         host.ejected = false;
         host.rest = kFirstRest;
@@ -971,7 +971,7 @@
   unsigned zone_, kinds_, max_forwards_;
   bool must_ask_, may_cancel_, may_copy_, by_group_, one_way_, clocked_, rolling_;
   Span longest_retry_after_, cold_window_, warm_after_, tick_, window_, vote_life_, vote_gap_;
-  double start_capacity_, further_most_, anew_part_, crowd_, sure_, cross_price_, over_share_worth_,
+  double start_capacity_, further_most_, anew_part_, crowd_, sure_, pace_, cross_price_, over_share_worth_,
       first_cap_, spare_, reported_share_;
   std::vector<double> rings_;
   unsigned closed_stages_;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -186,6 +186,17 @@
   EXPECT_GT(w.now - started, Span::s(5));
 }
 
+TEST(Votes, PatienceIsForTheStagesOfTheTerms) {
+  Terms terms = usual_terms();
+  terms.bake = Span::s(1);
+  World w = on_trial(terms);
+  w.list(8, 3, w.now);
+  const Instant started = w.now;
+  while (!w.sink.voted(Vote::kOn) && w.now - started < Span::s(30)) w.run(Span::ms(100), 200);
+  EXPECT_GT(w.now - started, Span::s(2));
+  EXPECT_LT(w.now - started, Span::s(4.5));
+}
+
 TEST(Votes, RenewedBeforeTheyLapseAndNeverOnUnderTheClock) {
   World w = on_trial();
   w.run(Span::s(30), 200);
@@ -198,12 +209,14 @@
 }
 
 TEST(Votes, AFailedVoteCarriesNoNewsAndIsCastAgain) {
-  World w = on_trial();
+  Terms terms = usual_terms();
+  terms.votes_per_s = 4;
+  World w = on_trial(terms);
   w.run(Span::s(15), 200);
   ASSERT_TRUE(w.sink.voted(Vote::kOn));
   const std::size_t before = w.sink.votes.size();
   w.router->stage_told(0, 0, Phase::kTrial, true, Answer::kUnknown, 0, Span());
-  w.run(Span::s(1), 200);
+  w.run(Span::s(1), 200);  // it may have been lost: soon
   EXPECT_GT(w.sink.votes.size(), before);
   EXPECT_EQ(w.sink.votes.back().second, Vote::kOn);
 }
