A lost zone's hosts stay out; forwards that we end ourselves are no sign of a host's life

Choice::ended took any end of a forward, our own calling off included, as news of its host, and Choice::send began the wait anew with each hit: where copies are not allowed, a host that swallows hits was never held silent (test with 30 hits a second). Choice::fit ignored health with 0.4 of the whole list out, which a lost zone always is: its hosts were tried all along (test).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -42,7 +42,7 @@
 // The sequential test of a host: good hosts fail this rarely, sick ones fail this much more than their build.
 constexpr double kGoodFails = 0.02, kSickMore = 0.4, kEject = 5, kTrust = -2;
 constexpr Span kFirstRest = Span::s(1), kLongestRest = Span::s(8);
-constexpr double kMostEjected = 0.4;  // beyond this part of the list the cause is not the hosts
+constexpr double kMostEjected = 0.4;  // beyond this part of every zone's the cause is not the hosts
 constexpr Span kBeat = Span::ms(20), kJudgeEvery = Span::ms(250), kFinish = Span::ms(26);
 constexpr double kFurtherPart = 0.2, kFurtherMost = 60;  // the budget of few routers in all
 constexpr double kCopyCost = 4;                          // of that budget: a copy is work done twice
@@ -70,7 +70,7 @@
   bool in_list = false;
   BuildId build = 0;
   unsigned zone = 0, cell = 0, kind = 0;
-  Instant last_start, last_heard, last_ok, open_since, rest_until, unit_at;
+  Instant last_start, last_heard, last_ok, unheard_since, rest_until, unit_at;
   Span rest = kFirstRest;
   unsigned open = 0;
   double unit_ms = 0;    // learnt latency for each hit at the host, of the mean path group; see unit_ms()
@@ -85,6 +85,7 @@
 struct Zone {
   double unit_ms = 0;  // as a host's, of all its hosts
   Instant unit_at;
+  double ready = 0, out = 0;  // hosts
 };
 
 struct Kind {  // of machine
@@ -163,7 +164,7 @@
     for (auto& by_kind : samples_) by_kind.resize(kinds_ * groups_.size());
     for (auto& by_group : tally_) by_group.resize(groups_.size());
     kind_.resize(kinds_);
-    zones_.resize(t.zones, {recent_unit_ms_, {}});
+    zones_.resize(t.zones, {recent_unit_ms_, {}, 0, 0});
   }
 
   // ---- News ----
@@ -600,7 +601,7 @@
 
   bool fit(const Host& host) const {
     if (!host.ejected) return true;
-    if (static_cast<double>(ejected_) > kMostEjected * static_cast<double>(ready_)) return true;
+    if (many_out_) return true;
     return now_ >= host.rest_until && host.open == 0;
   }
 
@@ -676,8 +677,7 @@
     const std::uint32_t place = hits_.take();
     places_.put(id, place);
     Hit& hit = hits_[place];
-    hit.id = id;
-    hit.live = true;
+    hit.id = id, hit.live = true;
     hit.group = group;
     hit.key = key;
     hit.give_up_at = give_up_at - kFinish;
@@ -720,8 +720,8 @@
 
   void send(Hit& hit, Pick to, bool last = false) {
     Host& host = hosts_[to.host];
-    hit.leg[hit.legs++] = {to.host, host.build, now_, to.predicted_ms, 1.0 * host.open, true, true};
-    if (host.open++ == 0) host.open_since = now_;
+    hit.leg[hit.legs++] = {to.host, host.build, now_, to.predicted_ms, 1.0 * host.open++, true, true};
+    if (host.unheard_since <= host.last_heard) host.unheard_since = now_;
     host.forwards.add(now_);
     if (on_trial(host.build)) groups_[by_group_ ? hit.group : 0].on_trial.add(now_);
     sink_.forward(hit.id, to.host, Span());
@@ -765,11 +765,8 @@
 
   // The final answer of a hit that will not be delivered, at once.
   void give_up(Hit& hit) {
-    if (may_bounce(hit) && now_ < hit.give_up_at) {
-      sink_.bounce(hit.id, retry_after());
-    } else {
-      sink_.error(hit.id);
-    }
+    if (may_bounce(hit) && now_ < hit.give_up_at) sink_.bounce(hit.id, retry_after());
+    else sink_.error(hit.id);
     over(hit);
   }
 
@@ -803,19 +800,15 @@
     f.may_have_run = result != Result::kFull && result != Result::kNoConnect && result != Result::kMoot;
     Host& host = hosts_[h];
     host.open -= host.open > 0;
-    host.last_heard = now_;
+    if (result < Result::kTimeout) host.last_heard = now_;  // what we ended ourselves is no sign of life
     learn(hit, f, result, took);
     if (result == Result::kOk && one_way_ && hit.key != 0 && f.build >= build_) {
       const std::uint32_t bound = pins_.find(hit.key);
       pins_.put(hit.key, bound == IndexMap::kNone ? f.build : std::max(f.build, bound));
     }
-    if (hit.done) {
-      drop_if_over(hit);
-    } else if (terminal) {
-      over(hit, result == Result::kOk);
-    } else {
-      (this->*hit.at_result)(hit, result);
-    }
+    if (hit.done) drop_if_over(hit);
+    else if (terminal) over(hit, result == Result::kOk);
+    else (this->*hit.at_result)(hit, result);
   }
 
   void client_left(HitId id) override {
@@ -845,17 +838,18 @@
     const double best = std::min_element(zones_.begin(), zones_.end(), quicker)->unit_ms;
     for (Zone& zone : zones_) {  // were hits refused on old times, nothing new would be heard of a zone
       if (now_ - zone.unit_at > Span::s(1)) zone.unit_ms = std::max(zone.unit_ms * 0.995, best);
+      zone.ready = zone.out = 0;
     }
     const Span long_window = std::max(window_, cold_window_);
     double in = 0, ability = 0;
-    ability_ = 0, ejected_ = 0, usual_fails_ = {};
+    ability_ = 0, usual_fails_ = {};
     for (GroupFigures& g : groups_) in += static_cast<double>(g.taken.from(now_ - long_window + tick_));
     std::fill(kind_.begin(), kind_.end(), Kind{});
     for (HostIndex h = 0; h < hosts_.size(); ++h) {
       Host& host = hosts_[h];
       if (host.state != HostState::kReady) continue;
       // A host that takes hits and answers none: its silence counts as failures, one for each long wait.
-      const Span silence = now_ - std::max(host.last_heard, host.open_since);
+      const Span silence = now_ - std::max(host.last_heard, host.unheard_since);
       const Span usual = Span::ms(unit_ms(host) * (kFreeLoad + host.open));
       if (host.open > 0 && silence > std::max(Span::ms(800), usual * 4))
         host.last_heard = now_, weigh(h, true);
@@ -865,7 +859,7 @@
         log("host %u back", h);
       }
       ability += able(host);
-      ejected_ += host.ejected;
+      zones_[host.zone].ready += 1, zones_[host.zone].out += host.ejected;
       if (host.ejected) continue;
       ability_ += able(host);
       usual_fails_[static_cast<int>(side(host))].merge(host.by_group.back());
@@ -873,6 +867,9 @@
       kind_[host.kind].sent += static_cast<double>(host.forwards.from(now_ - cold_window_));
       kind_[host.kind].warm_hosts += 1;
     }
+    // A zone lost whole leaves the others to carry on: only where all of them fail is it no host's doing.
+    const auto many_out = [](const Zone& z) { return z.out > kMostEjected * z.ready || z.ready == 0; };
+    many_out_ = std::all_of(zones_.begin(), zones_.end(), many_out);
     // What a host at its full capacity may get from us in a cold window.
     const double even = in * (cold_window_ / long_window) / std::max(ability, 1.0);
     for (Kind& k : kind_) k.part = k.warm_hosts > 0 ? std::min(k.sent / k.warm_hosts, even) : 0.7 * even;
@@ -936,10 +933,8 @@
   }
 
   bool may_have_run(const Hit& hit) const {
-    for (unsigned i = 0; i < hit.legs; ++i) {
-      if (hit.leg[i].out || hit.leg[i].may_have_run) return true;
-    }
-    return false;
+    const auto may = [](const Forward& f) { return f.may_have_run; };  // true while it is out
+    return std::any_of(hit.leg.begin(), hit.leg.begin() + hit.legs, may);
   }
 
   // A bounce says that trying again is harmless.
@@ -981,7 +976,8 @@
   std::vector<Kind> kind_;
   std::vector<Zone> zones_;
   Span ask_wait_ = Span::ms(300);
-  std::size_t ready_ = 0, ejected_ = 0;
+  std::size_t ready_ = 0;
+  bool many_out_ = false;
   // The build on trial.
   bool told_ = false;
   BuildId build_ = 0;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -285,16 +285,47 @@
   EXPECT_EQ(w.sink.errored.size(), 1u);
 }
 
+// A zone that is lost whole is left alone though it is half of the list: the other still answers.
+TEST(Hosts, ALostZoneIsLeftOutAndAllAreTriedWhereAllFail) {
+  World w(usual_terms(), 8);
+  w.run(Span::s(2), 200);
+  w.serve = [](BuildId, HostIndex h) {
+    return World::Outcome{h % 2 != 0 ? Result::kNoConnect : Result::kOk};
+  };
+  w.run(Span::s(1), 200);
+  const auto lost = [&](std::size_t from) {
+    return std::count_if(w.sink.sent.begin() + static_cast<std::ptrdiff_t>(from), w.sink.sent.end(),
+                         [](const auto& s) { return s.host % 2 != 0; });
+  };
+  std::size_t from = w.sink.sent.size();
+  w.run(Span::s(1), 200);
+  EXPECT_LT(lost(from), 20);
+  w.serve = [](BuildId, HostIndex) { return World::Outcome{Result::kNoConnect}; };
+  w.run(Span::s(2), 200);
+  from = w.sink.sent.size();
+  w.run(Span::s(1), 200);
+  EXPECT_GT(lost(from), 50);
+}
+
+// Also where no copies are allowed and each hit there is called off long before its host counts as silent.
 TEST(Hits, ASilentHostIsDroppedAndItsHitsGoElsewhere) {
-  World w(usual_terms());
-  w.serve = [](BuildId, HostIndex h) { return Outcome{Result::kOk, Span::ms(50), h == 3}; };
-  w.run(Span::s(6), 100);
-  EXPECT_TRUE(w.sink.logged("host 3 out"));
-  std::size_t late = 0;
-  for (std::size_t i = w.sink.sent.size() - 100; i < w.sink.sent.size(); ++i)
-    late += w.sink.sent[i].host == 3;
-  EXPECT_LT(late, 5u);
-  EXPECT_TRUE(w.sink.errored.empty());
+  for (const bool copies : {true, false}) {
+    Terms terms = usual_terms();
+    terms.may_copy = copies;
+    World w(terms);
+    w.serve = [](BuildId, HostIndex h) { return Outcome{Result::kOk, Span::ms(50), h == 3}; };
+    w.run(Span::s(6), 100);
+    EXPECT_TRUE(w.sink.logged("host 3 out"));
+    std::size_t late = 0;
+    for (std::size_t i = w.sink.sent.size() - 100; i < w.sink.sent.size(); ++i)
+      late += w.sink.sent[i].host == 3;
+    EXPECT_LT(late, 5u);
+    EXPECT_TRUE(w.sink.errored.empty() || !copies);
+    World few(terms);  // so few hits that all there are called off in time
+    few.serve = w.serve;
+    few.run(Span::s(4), 30);
+    EXPECT_TRUE(few.sink.logged("host 3 out")) << copies;
+  }
 }
 
 TEST(Hits, EveryHitEndsOnceBeforeItsTimeout) {
