Hosts that are out are not waited for before 'on', and the longest wait follows the bake

Now hosts that are out count on neither side, and the 11 s shrink with the bake. Kept: the test shows the wait.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,7 +25,8 @@
 // The design's marks.
 constexpr double kFirstShare = 0.3, kShareStep = 0.2;
 constexpr Span kQuietStep = Span::s(1), kQuietForOn = Span::s(2), kPastNewestStart = Span::s(3);
-constexpr Span kUsualBake = Span::s(2);  // these spans are for such a stage; a shorter one shortens them
+constexpr Span kLongestWait = Span::s(11);  // for the stage's hosts to be there
+constexpr Span kUsualBake = Span::s(2);     // these spans are for such a stage; a shorter one shortens them
 constexpr double kModerateSlow = 1.25, kFewOutcomes = 20, kEnoughTimes = 30;
 constexpr double kModeratePoints = 0.02, kSeverePoints = 0.05, kModerateFails = 3, kSevereFails = 5;
 // Evidence, as a log-likelihood ratio, beyond the marks: what a few judges need; more judges for each vote
@@ -551,10 +552,10 @@
     const Span in_stage = now_ - stage_since_;
     const Span past = kPastNewestStart * pace_;
     if (in_stage < past + Span::s(pace_) || now_ - newest_start_ < past) return false;
-    const double places = static_cast<double>(rolling_ ? trial_ready_ + earlier_ready_
-                                                       : std::max(trial_ready_, earlier_ready_));
+    // Hosts that are out, as of a lost zone, are not waited for, nor are their successors.
+    const double there = in_use_[1], places = rolling_ ? there + in_use_[0] : std::max(there, in_use_[0]);
     const double due = stage_ < rings_.size() ? rings_[stage_] * places : places;
-    return static_cast<double>(trial_ready_) >= 0.85 * due - 0.5 || in_stage > Span::s(11);
+    return there >= 0.85 * due - 0.5 || in_stage > kLongestWait * pace_;
   }
 
   void cast(Vote vote) {
@@ -842,7 +843,7 @@
     }
     const Span long_window = std::max(window_, cold_window_);
     double in = 0, ability = 0;
-    ability_ = 0, usual_fails_ = {};
+    ability_ = 0, usual_fails_ = {}, in_use_ = {};
     for (GroupFigures& g : groups_) in += static_cast<double>(g.taken.from(now_ - long_window + tick_));
     std::fill(kind_.begin(), kind_.end(), Kind{});
     for (HostIndex h = 0; h < hosts_.size(); ++h) {
@@ -861,6 +862,7 @@
       ability += able(host);
       zones_[host.zone].ready += 1, zones_[host.zone].out += host.ejected;
       if (host.ejected) continue;
+      in_use_[static_cast<int>(side(host))] += 1;
       ability_ += able(host);
       usual_fails_[static_cast<int>(side(host))].merge(host.by_group.back());
       if (!warm(host)) continue;
@@ -991,6 +993,7 @@
   double past_fail_rate_ = 0;
   // Of earlier builds and of the trial:
   std::array<Count, 2> usual_fails_;             // at hosts that are not out
+  std::array<double, 2> in_use_{};               // such hosts
   std::array<std::vector<Samples>, 2> samples_;  // by kind of machine and path group
   std::array<std::vector<Count>, 2> tally_;      // by path group
   // Our vote.
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -197,6 +197,19 @@
   EXPECT_LT(w.now - started, Span::s(4.5));
 }
 
+// A zone is lost while the stage goes through: what of it can't be there does not keep the build from going
+// on.
+TEST(Votes, HostsThatAreOutAreNotWaitedFor) {
+  World w = on_trial(usual_terms(), 1, 8, 4);
+  w.serve = [](BuildId, HostIndex h) { return Outcome{h % 2 != 0 ? Result::kNoConnect : Result::kOk}; };
+  w.stage(2, 2, Phase::kTrial, 1);  // all eight are due
+  w.run(Span::s(9.5), 200);
+  EXPECT_FALSE(w.sink.voted(Vote::kOn));  // two of the four that are left
+  w.list(8, 6);
+  w.run(Span::s(1), 200);
+  EXPECT_TRUE(w.sink.voted(Vote::kOn));  // three of four; in the list are six of eight
+}
+
 TEST(Votes, RenewedBeforeTheyLapseAndNeverOnUnderTheClock) {
   World w = on_trial();
   w.run(Span::s(30), 200);
