--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -32,7 +32,8 @@
   Span crowded_idle = Span::s(2);     // than half full, already then
   Span turned_away = Span::ms(100);   // after an answer to a bad request, before more is read from there
   Span half_request = Span::s(1);     // one that takes longer to come gives way at a full table
-  Span settle = Span::ms(200);        // a connection this young is about to bring its first request
+  Span settle = Span::ms(200);        // a kept connection idle so long may give way at a full table
+  Span young = Span::ms(50);          // one this young is about to bring its whole first request
   Span linger = Span::s(1);           // for a client that still sends what was refused
   Span id_kept = Span::s(5);          // past the client timeout, in which no other may come with a hit's id
   Span overdue = Span::ms(20);        // past the client timeout: by then the module has long answered
--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -50,7 +50,7 @@
   if (at_ != At::kAnswering) return;
   at_ = At::kWriting;
   bad_ = status >= 400 && status < 500;
-  last_ = last_ || callers_.winding_down_ || callers_.full();
+  last_ = last_ || callers_.winding_down_;
   std::string bytes = "HTTP/1.1 " + std::to_string(status) + " ";
   bytes.append(http::reason(status)).append("\r\n").append(fields);
   if (last_) bytes += "Connection: close\r\n";
@@ -120,34 +120,44 @@
 void Callers::accepted(int fd) {
   if (fd < 0) return pause();
   callers_.push_back(std::make_unique<Caller>(*this, fd, callers_.size()));
-  // While it is full, each answer ends its connection: what waits outside gets its turn.
   make_room();
 }
 
 // As the last resort accepting pauses, until a connection ends or has stood idle long enough.
 void Callers::make_room() {
   if (!full()) return listener_.pause(false);
-  if (!close_idlest(loop_.now() - limits_.settle)) pause();
+  if (!close_idlest()) pause();
 }
 
 void Callers::pause() {
   listener_.pause(true);
-  room_.in(limits_.settle * 0.25);
+  room_.in(limits_.young);
 }
 
-bool Callers::close_idlest(Instant idle_since) {
+bool Callers::close_idlest() {
+  const Instant now = loop_.now();
   Caller* idlest = nullptr;
+  std::pair<bool, Instant> first;  // what goes first is less: never answered, or kept; then the older
+  bool soon = false;               // one that never had an answer may go before long
   for (const auto& c : callers_) {
-    const bool begun = c->requests_.begun() && c->at_ == Caller::At::kReading;
-    if (c->since_ > (begun ? idle_since - limits_.half_request : idle_since)) continue;
-    const bool waits = c->at_ == Caller::At::kReading || c->at_ == Caller::At::kPausing;
-    if (c->at_ != Caller::At::kLingering && !(waits && c->connection_.quiet())) continue;
-    const auto kept = [](const Caller& one) { return one.asked_ && one.at_ == Caller::At::kReading; };
-    if (!idlest || std::pair(kept(*c), c->since_) < std::pair(kept(*idlest), idlest->since_))
-      idlest = c.get();
+    const bool lingers = c->at_ == Caller::At::kLingering, reads = c->at_ == Caller::At::kReading;
+    if (!lingers && !reads && c->at_ != Caller::At::kPausing) continue;
+    const bool kept = c->asked_ && reads, begun = reads && c->requests_.begun();
+    Span spared = limits_.young;
+    if (begun && (kept || winding_down_)) spared = limits_.half_request;
+    else if (kept) spared = winding_down_ ? Span() : limits_.settle;
+    if (now - c->since_ < spared) {
+      soon = soon || !kept;
+      continue;
+    }
+    const std::pair rank(kept, c->since_);
+    if ((idlest && rank >= first) || (!lingers && !c->connection_.quiet())) continue;
+    idlest = c.get();
+    first = rank;
   }
-  if (idlest) remove(idlest);
-  return idlest != nullptr;
+  if (!idlest || (first.first && soon && !winding_down_)) return false;
+  remove(idlest);
+  return true;
 }
 
 void Callers::remove(Caller* caller) {
@@ -163,7 +173,7 @@
 
 void Callers::wind_down() {
   winding_down_ = true;
-  while (close_idlest(loop_.now())) {
+  while (close_idlest()) {
   }
 }
 
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -68,9 +68,10 @@
   void pause();
   bool full() const { return callers_.size() >= limits_.clients; }
   bool crowded() const { return callers_.size() * 2 >= limits_.clients; }
-  // The one that has been idle longest, since then at least, one that never had an answer before one that
-  // has; guards against clients that hold connections and send nothing, or half a request.
-  bool close_idlest(Instant idle_since);
+  // The one that has been idle longest, and long enough, one that never had an answer before one that has.
+  // Guards against clients that hold connections and send nothing, or half a request: whoever keeps to the
+  // protocol sends a whole request at once, so is not met by this, and must not wait outside for the others.
+  bool close_idlest();
   Loop& loop_;
   const Limits& limits_;
   Came came_;
