--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -18,6 +18,7 @@
   std::size_t unread = 16 * 1024;             // read from a connection and not taken yet: then reading stops
   // Counts of connections.
   std::size_t clients = 448;
+  std::size_t idle_clients = 128;  // of those, between requests
   std::size_t to_hosts = 448;
   int backlog = 1024;
   std::size_t ids = 16 * 1024;  // remembered, so that no id is taken twice
--- a/src/program/environment.cpp
+++ b/src/program/environment.cpp
@@ -99,6 +99,7 @@
   constexpr std::size_t kOwn = 32;
   Limits limits;
   limits.clients = (sockets - kOwn) / 2;
+  limits.idle_clients = sockets / 8;
   limits.to_hosts = (sockets - kOwn) / 2;
   limits.connect = door.connect;
   limits.host_idle = std::min(limits.host_idle, door.host_idle * 0.8);
--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -86,6 +86,7 @@
 }
 
 void Caller::wait_for_more() {
+  callers_.trim();
   const Limits& limits = callers_.limits_;
   timer_.at(since_ + (callers_.crowded() ? limits.crowded_idle : limits.client_idle));
 }
@@ -129,6 +130,18 @@
   if (!close_idlest()) pause();
 }
 
+void Callers::trim() {
+  Caller* idlest = nullptr;
+  std::size_t idle = 0;
+  for (const auto& c : callers_) {
+    if (c->at_ != Caller::At::kReading || !c->asked_ || c->requests_.begun()) continue;
+    ++idle;
+    if (!idlest || c->since_ < idlest->since_) idlest = c.get();
+  }
+  if (idle <= limits_.idle_clients || loop_.now() - idlest->since_ < limits_.settle) return;
+  if (idlest->connection_.quiet()) remove(idlest);
+}
+
 void Callers::pause() {
   listener_.pause(true);
   room_.in(limits_.young);
@@ -138,7 +151,6 @@
   const Instant now = loop_.now();
   Caller* idlest = nullptr;
   std::pair<bool, Instant> first;  // what goes first is less: never answered, or kept; then the older
-  bool soon = false;               // one that never had an answer may go before long
   for (const auto& c : callers_) {
     const bool lingers = c->at_ == Caller::At::kLingering, reads = c->at_ == Caller::At::kReading;
     if (!lingers && !reads && c->at_ != Caller::At::kPausing) continue;
@@ -146,16 +158,13 @@
     Span spared = limits_.young;
     if (begun && (kept || winding_down_)) spared = limits_.half_request;
     else if (kept) spared = winding_down_ ? Span() : limits_.settle;
-    if (now - c->since_ < spared) {
-      soon = soon || !kept;
-      continue;
-    }
+    if (now - c->since_ < spared) continue;
     const std::pair rank(kept, c->since_);
     if ((idlest && rank >= first) || (!lingers && !c->connection_.quiet())) continue;
     idlest = c.get();
     first = rank;
   }
-  if (!idlest || (first.first && soon && !winding_down_)) return false;
+  if (!idlest) return false;
   remove(idlest);
   return true;
 }
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -65,6 +65,8 @@
   void accepted(int fd);
   void remove(Caller* caller);
   void make_room();
+  // Guards against clients that ask once and stay: of those between requests the one idle longest is closed.
+  void trim();
   void pause();
   bool full() const { return callers_.size() >= limits_.clients; }
   bool crowded() const { return callers_.size() * 2 >= limits_.clients; }
