--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -25,8 +25,7 @@
 // The design's marks.
 constexpr double kFirstShare = 0.3, kShareStep = 0.2;
 constexpr Span kQuietStep = Span::s(1), kQuietForOn = Span::s(2), kPastNewestStart = Span::s(3);
-constexpr Span kLongestWait = Span::s(11);  // for the stage's hosts to be there
-constexpr Span kUsualBake = Span::s(2);     // these spans are for such a stage; a shorter one shortens them
+constexpr Span kLongestWait = Span::s(11), kUsualBake = Span::s(2);  // a shorter bake shortens these spans
 constexpr double kModerateSlow = 1.25, kFewOutcomes = 20, kEnoughTimes = 30;
 constexpr double kModeratePoints = 0.02, kSeverePoints = 0.05, kModerateFails = 3, kSevereFails = 5;
 // Evidence, as a log-likelihood ratio, beyond the marks: what a few judges need; more judges for each vote
@@ -679,8 +678,7 @@
     places_.put(id, place);
     Hit& hit = hits_[place];
     hit.id = id, hit.live = true;
-    hit.group = group;
-    hit.key = key;
+    hit.group = group, hit.key = key;
     hit.give_up_at = give_up_at - kFinish;
     hit.late_at = std::min(now_ + groups_[group].target, hit.give_up_at);
     double worth = groups_[group].benefit / groups_[group].mean_ms;
@@ -827,7 +825,7 @@
       if (hit.live && !hit.done && hit.due <= now_) (this->*hit.at_due)(hit);
     }
     if (now_ < next_judge_) return;
-    next_judge_ = now_ + kJudgeEvery;
+    next_judge_ = now_ + kJudgeEvery * pace_;
     step_share();
   }
 
@@ -883,14 +881,13 @@
   }
 
   bool exposure_allows(const Hit& hit, BuildId build, double share) {
-    const unsigned group = hit.group;
     const unsigned stage = build == build_ && told_ ? stage_ : 0;
-    if (stage < closed_stages_ && groups_[group].repeats != Repeats::kRepeatable) return false;
+    if (stage < closed_stages_ && groups_[hit.group].repeats != Repeats::kRepeatable) return false;
     const double cap = build == build_ && told_ ? cap_ : first_cap_;
     if (cap <= 0 || share <= 0) return false;
     // Forwards are counted a tick longer and takings a tick shorter than the window, against edges of it.
-    const auto out = groups_[by_group_ ? group : 0].on_trial.from(now_ - window_ - tick_);
-    const auto in = (by_group_ ? groups_[group].taken : all_taken_).from(now_ - window_ + tick_);
+    const auto out = groups_[by_group_ ? hit.group : 0].on_trial.from(now_ - window_ - tick_);
+    const auto in = (by_group_ ? groups_[hit.group].taken : all_taken_).from(now_ - window_ + tick_);
     // Where only the trial is left, a further forward takes the room that another hit brings with it.
     const double spare = hit.legs > 0 ? spare_ / 2 : spare_;
     return static_cast<double>(out) + 1 <= spare + cap * static_cast<double>(in) * share;
