--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -26,6 +26,7 @@
       since_ = callers_.loop_.now();
       if (asked_) timer_.in(callers_.limits_.request_read);
     }
+    if (!timer_.armed()) wait_for_more();  // nothing but blank lines came early
     return;
   }
   timer_.off();
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -400,19 +400,23 @@
   limits_.first_request = limits_.request_read = Span::ms(200);
   limits_.client_idle = Span::ms(500);
   begin(all_hosts());
-  Stream silent = client(), half = client(), blank = client(), kept = client(), later = client();
+  Stream silent = client(), half = client(), blank = client(), kept = client(), later = client(),
+         odd = client();
   half.say("GET /look HTT");
   for (Stream* c : {&kept, &later}) {
     c->say("GET /health/ready HTTP/1.1\r\n\r\n");
     EXPECT_EQ(status_of(c->message()), 200U);
   }
   later.say("GET /lo");
+  odd.say("GET /health/ready HTTP/1.1\r\n\r\n\r\n");  // an early blank line
+  EXPECT_EQ(status_of(odd.message()), 200U);
   for (int i = 0; i < 5; ++i) blank.say("\r\n"), usleep(60000);
   EXPECT_TRUE(silent.ended(100) && blank.ended(100));
   EXPECT_EQ(status_of(half.message(100)), 408U);
   EXPECT_EQ(status_of(later.message(100)), 408U);
   EXPECT_FALSE(kept.ended(50));
   EXPECT_TRUE(kept.ended(600));
+  EXPECT_TRUE(odd.ended(600));
 }
 
 TEST_F(RouterTest, AHugeBodyIsReadAndDroppedAndTheErrorArrives) {
