--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -549,7 +549,8 @@
   bool ready_for_on() {
     if (share_ < 1 || now_ - full_from_ < kQuietForOn * pace_ || trial_ready_ == 0) return false;
     const Span in_stage = now_ - stage_since_;
-    const Span past = kPastNewestStart * pace_;
+    // Departure: not at the last stage, where all load follows and a build that is bad under it would jam.
+    const Span past = kPastNewestStart * (stage_ + 1 < rings_.size() ? pace_ : 1.0);
     if (in_stage < past + Span::s(pace_) || now_ - newest_start_ < past) return false;
     // Hosts that are out, as of a lost zone, are not waited for, nor are their successors.
     const double there = in_use_[1], places = rolling_ ? there + in_use_[0] : std::max(there, in_use_[0]);
