--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -195,6 +195,12 @@
   while (!w.sink.voted(Vote::kOn) && w.now - started < Span::s(30)) w.run(Span::ms(100), 200);
   EXPECT_GT(w.now - started, Span::s(2));
   EXPECT_LT(w.now - started, Span::s(4.5));
+  w.stage(2, 2, Phase::kTrial, 1);  // the last one, where all load follows
+  w.list(8, 8, w.now);
+  const Instant last = w.now;
+  const std::size_t before = w.sink.votes.size();
+  while (w.sink.votes.size() == before && w.now - last < Span::s(30)) w.run(Span::ms(100), 200);
+  EXPECT_GT(w.now - last, Span::s(2.9));
 }
 
 // A zone is lost while the stage goes through: what of it can't be there does not keep the build from going
