--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -92,7 +92,7 @@
 
 bool Head::fits_first_line(char c) const {
   constexpr std::string_view kBegin = "HTTP/1.";
-  if (side_ == Side::kAnswer) return raw_.size() >= kBegin.size() || c == kBegin[raw_.size()];
+  if (side_ == Side::kAnswers) return raw_.size() >= kBegin.size() || c == kBegin[raw_.size()];
   if (raw_.find(' ') != std::string::npos) return true;
   return raw_.size() < 32 && (token_char(c) || (raw_.empty() ? c == '\r' : c == ' ' || raw_ == "\r"));
 }
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -30,11 +30,12 @@
   std::string_view name, value, line;  // the line with its end, as it came
 };
 
+enum class Side { kRequests, kAnswers };
+
 // The lines up to and with the empty one. Only CR LF ends a line; a name holds no space. What can't become a
 // head any more is refused at once: who sends noise and keeps the connection open is not waited for.
 class Head {
  public:
-  enum class Side { kRequest, kAnswer };
   enum class Got { kMore, kWhole, kTooLong, kBad };
   Head(Side side, std::size_t most) : side_(side), most_(most) {}
   Got feed(std::string_view& bytes);  // takes from the front what belongs to it
@@ -98,11 +99,10 @@
 // One message after another.
 class Messages {
  public:
-  enum class Side { kRequests, kAnswers };
+  using Side = http::Side;
   enum class Got { kMore, kWhole, kBad };
   Messages(Side side, std::size_t most_head, std::size_t most_body)
-      : side_(side), head_(side == Side::kRequests ? Head::Side::kRequest : Head::Side::kAnswer, most_head),
-        body_(most_body) {}
+      : side_(side), head_(side, most_head), body_(most_body) {}
   Got feed(std::string_view& bytes);
   Got stream_ended();  // the other side has closed: a body may end so
   void next();         // the message at hand is done with
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -6,7 +6,7 @@
 
 Discovery::Discovery(Loop& loop, const Limits& limits, std::string address, Told told, Failed failed)
     : loop_(loop), limits_(limits), address_(std::move(address)), told_(std::move(told)),
-      failed_(std::move(failed)), head_(http::Head::Side::kAnswer, limits.head),
+      failed_(std::move(failed)), head_(http::Side::kAnswers, limits.head),
       body_(std::numeric_limits<std::size_t>::max()), lines_(limits.list_line),
       silence_(loop, [this] { fail("silent"); }) {}
 
