--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -88,9 +88,7 @@
 
 void Desk::end_if_retired() {
   if (!over_ || std::any_of(calls_.begin(), calls_.end(), [](const Call& c) { return c.vote; })) return;
-  silence_.off();
-  answers_.off();
-  if (connection_) connection_->close(), loop_.destroy_later(std::move(connection_));
+  drop();
   loop_.later(std::exchange(over_, nullptr));
 }
 
@@ -142,14 +140,17 @@
   return true;
 }
 
-void Desk::lost(const char* why) {
-  if (tries_++ == 0) note_(std::string("connection ") + why);
+void Desk::drop() {
   silence_.off();
   answers_.off();
+  if (connection_) connection_->close(), loop_.destroy_later(std::move(connection_));
+}
+
+void Desk::lost(const char* why) {
+  if (tries_++ == 0) note_(std::string("connection ") + why);
   // What was never written was not carried out; of the rest that is not known.
   const Answer fate = opened_ ? Answer::kUnknown : Answer::kFailed;
-  connection_->close();
-  loop_.destroy_later(std::move(connection_));
+  drop();
   const std::deque<Call> calls = std::move(calls_);
   calls_.clear();
   for (const Call& c : calls) {
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -40,6 +40,7 @@
   void bytes_came() override;
   void ended() override { lost("ended"); }
   void open();
+  void drop();
   void lost(const char* why);
   void call(const char* method, const std::string& params, bool vote);
   bool line(std::string_view text);
