Who is calling: signed tokens, rights and quotas at the door, operator's file and commands

Hits' merchants were what clients claimed in X-Account. The first working path: tokens (JWS, EdDSA and ES256) are verified once and known by hash, key ring with overlap and revocation, tenants with rights and GCRA quotas in router's parts, 401/403/429 before a hit is taken, X-Caller told to hosts. Typed records (after CUE) for the operator's file with places of all errors; sub-commands serve, check and keys; logs as JSON; set-up by make.

--- a/Makefile
+++ b/Makefile
@@ -1,18 +1,19 @@
-.PHONY: build test lint run
-build:
-	cmake -B build -DCMAKE_BUILD_TYPE=Release && cmake --build build -j4
+.PHONY: setup build test lint run bench
+# Installs what is missing, on a Debian machine; says nothing where all is there.
+setup:
+	tools/setup
+build: setup
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DASHBEAM_STRICT=$${ASHBEAM_STRICT:-ON} && cmake --build build -j4
 test: build
 	ctest --test-dir build --output-on-failure -j4
-# Formatting, and that no layer includes a higher one.
-lint:
-	clang-format --dry-run -Werror $(shell find src tests -name '*.?pp')
-	! grep -nE '#include "(transport|protocol|terms|routing|program|simhost)/' src/choice.* src/base/*
-	! grep -nE '#include "(choice|protocol|terms|routing|program|simhost)' src/transport/*
-	! grep -nE '#include "(choice|transport|terms|routing|program|simhost)' src/protocol/*
-	! grep -nE '#include "(transport|protocol|routing|program|simhost)/' src/terms/*
-	! grep -nE '#include "(program|simhost)/' src/routing/*
-	! grep -nE '#include "(transport|protocol|routing|program)/' src/simhost/*
+# Formatting, who may include whom (tools/layers.txt), and the decision module's size.
+lint: setup
+	clang-format --dry-run -Werror $(shell find src tests proofs benches -name '*.?pp')
+	tools/lint_layers
 # With docs/example.json unless the variables say otherwise.
 run: build
 	PROXY_NAME=$${PROXY_NAME:-n0} PROXY_LISTEN=$${PROXY_LISTEN:-127.0.0.1:9000} \
 	PROXY_DISCOVERY=$${PROXY_DISCOVERY:-127.0.0.1:8500} PROXY_CONFIG=$${PROXY_CONFIG:-docs/example.json} build/ashbeam
+# With and without who is calling, in one run.
+bench: build
+	build/ashbeam_bench
--- /dev/null
+++ b/src/program/commands.hpp
@@ -0,0 +1,27 @@
+// The sub-commands. Each returns the program's exit code: 0 good, 1 failed; wrong use is met before.
+#pragma once
+#include <string>
+
+namespace ashbeam {
+
+struct ServeOptions {
+  std::string operators;  // path of the operator's file; empty: none
+  bool json = false;      // one JSON object a log line
+};
+int serve(const ServeOptions& options);
+
+int check_file(const std::string& path);
+int print_schema();
+
+struct KeysOptions {
+  std::string folder = "keys", kid, algorithm = "EdDSA", from = "0s";
+  // of a token
+  std::string subject, tenant, issuer, audience, life = "1h", certificate;
+};
+int keys_new(const KeysOptions& options);
+int keys_list(const KeysOptions& options);
+int keys_retire(const KeysOptions& options);
+int keys_revoke(const KeysOptions& options);
+int keys_token(const KeysOptions& options);
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/program/demo.cpp
@@ -0,0 +1,4 @@
+#include "program/demo.hpp"
+namespace ashbeam {
+int demo(const DemoOptions&) { return 1; }
+}  // namespace ashbeam
--- /dev/null
+++ b/src/program/guardian.hpp
@@ -0,0 +1,47 @@
+// Keeps the operator's file and what it names (key sets, certificates) in force while the router runs: read
+// at start, at SIGHUP and, for the key folder, when it changes. What can't be used changes nothing and is
+// logged.
+#pragma once
+#include <memory>
+#include <string>
+
+#include "program/operators.hpp"
+#include "routing/service.hpp"
+#include "store/files.hpp"
+#include "store/worker.hpp"
+
+namespace ashbeam {
+
+class Guardian {
+ public:
+  // Throws OperatorsError or FileError where the file can't be used: the program does not start on it.
+  Guardian(Loop& loop, Service& service, const DoorTerms& door, const Terms& terms, std::string path,
+           std::uint64_t seed, Service::Note note);
+  // Reads all of it again, off the loop; `told` counts from then on.
+  void reread();
+
+ private:
+  struct Fresh {  // as read by the worker
+    std::string problem;
+    Operators operators;
+    KeyFolder keys;
+  };
+  Fresh read(const std::string& keys_only) const;
+  void take(const Fresh& fresh, bool all);
+  void take_keys(const KeyFolder& folder);
+  void look();  // at the key folder
+  Loop& loop_;
+  Service& service_;
+  const DoorTerms& door_;
+  const Terms& terms_;
+  std::string path_;
+  Service::Note note_;
+  Operators standing_;
+  std::string stamp_, complaint_;  // of the key folder, as last read; the last one told
+  bool reading_ = false, again_ = false;
+  std::uint64_t looked_ = 0;
+  Timer look_;
+  std::unique_ptr<Worker> worker_;  // last: ends before what its jobs read
+};
+
+}  // namespace ashbeam
--- a/src/program/log_sink.hpp
+++ b/src/program/log_sink.hpp
@@ -3,12 +3,18 @@
 #pragma once
 #include <poll.h>
 #include <spdlog/details/null_mutex.h>
+#include <spdlog/formatter.h>
 #include <spdlog/sinks/base_sink.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <memory>
 #include <string>
 
+#include "protocol/json.hpp"
+
 namespace ashbeam {
 
 class LogSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
@@ -32,4 +38,33 @@
   unsigned left_out_ = 0;
 };
 
+// One JSON object a line: {"time":...,"level":...,"text":...}. What is too long for a line is cut off within
+// the text, so that the line stays whole.
+class JsonLines : public spdlog::formatter {
+ public:
+  void format(const spdlog::details::log_msg& msg, spdlog::memory_buf_t& to) override {
+    const auto us =
+        std::chrono::duration_cast<std::chrono::microseconds>(msg.time.time_since_epoch()).count();
+    char time[32];
+    const int digits = std::snprintf(time, sizeof time, "%lld.%06lld", static_cast<long long>(us / 1000000),
+                                     static_cast<long long>(us % 1000000));
+    const auto level = spdlog::level::to_string_view(msg.level);
+    std::string text = json_text(std::string_view(msg.payload.data(), msg.payload.size()));
+    for (std::size_t keep = msg.payload.size(); text.size() > kMostText; keep = keep * 3 / 4)
+      text = json_text(std::string_view(msg.payload.data(), keep));
+    const auto add = [&](std::string_view s) { to.append(s.data(), s.data() + s.size()); };
+    add("{\"time\":");
+    add({time, static_cast<std::size_t>(digits)});
+    add(",\"level\":\"");
+    add({level.data(), level.size()});
+    add("\",\"text\":");
+    add(text);
+    add("}\n");
+  }
+  std::unique_ptr<spdlog::formatter> clone() const override { return std::make_unique<JsonLines>(); }
+
+ private:
+  static constexpr std::size_t kMostText = 900;
+};
+
 }  // namespace ashbeam
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,100 +1,93 @@
-// One router: reads what the machine tells it, serves until it is told to stop.
-#include <Poco/ErrorHandler.h>
-#include <Poco/Exception.h>
-#include <spdlog/spdlog.h>
-#include <sys/resource.h>
+// The command line: plain `ashbeam` serves.
+#include <CLI/CLI.hpp>
 
-#include <algorithm>
-#include <csignal>
-#include <cstdio>
-#include <cstdlib>
-
-#include "program/environment.hpp"
-#include "program/log_sink.hpp"
-#include "routing/service.hpp"
+#include "program/commands.hpp"
+#include "program/demo.hpp"
 
 namespace {
 
 using namespace ashbeam;
 
-volatile std::sig_atomic_t stop_asked = 0, reading_asked = 0;
-
-class Complaints : public Poco::ErrorHandler {  // no exception ends the loop
- public:
-  void exception(const Poco::Exception& e) override { spdlog::error("exception: {}", e.displayText()); }
-  void exception(const std::exception& e) override { spdlog::error("exception: {}", e.what()); }
-  void exception() override { spdlog::error("exception of an unknown kind"); }
-};
+constexpr int kWrongUse = 2;
 
-Start read() {
-  return read_start([](const char* name) -> const char* { return std::getenv(name); });
-}
+}  // namespace
 
-// The configuration is read whole and checked before anything of it counts.
-void read_again(const Start& standing, Service& service) {
-  try {
-    const Start next = read();
-    read_terms(next.settings);
-    read_door_terms(next.settings);
-    service.move_to(next.site.discovery, next.site.desk);
-    spdlog::info("configuration read again: discovery {}, desk {}{}", next.site.discovery, next.site.desk,
-                 next.settings == standing.settings ? "" : "; other settings count from the next start");
-  } catch (const std::exception& e) {
-    spdlog::error("configuration can't be used, the old one stands: {}", e.what());
-  }
-}
+int main(int argc, char** argv) {
+  CLI::App app{"ashbeam: a router that stands beside a service and votes on staged releases"};
+  app.require_subcommand(0, 1);
+  int code = 0;
 
-int serve() {
-  Start start = read();
-  rlimit descriptors{};  // the machine may grant fewer than the configuration says
-  if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
-    start.sockets = std::min<std::size_t>(start.sockets, std::max<rlim_t>(descriptors.rlim_cur, 64));
-  }
-  const Terms terms = read_terms(start.settings);
-  const DoorTerms door = read_door_terms(start.settings);
-  const Limits limits = limits_for(start.sockets, door, terms);
+  ServeOptions serving;
+  std::string log = "plain";
+  const auto serve_flags = [&](CLI::App& on) {
+    on.add_option("--file", serving.operators, "the operator's file (typed records)")
+        ->envname("ASHBEAM_FILE");
+    on.add_option("--log", log, "plain or json: one object a line")->check(CLI::IsMember({"plain", "json"}));
+  };
+  serve_flags(app);
+  auto* const serve_command = app.add_subcommand("serve", "serve; what plain ashbeam does, too");
+  serve_flags(*serve_command);
 
-  Loop loop;
-  Service service(loop, limits, terms, door, start.site,
-                  [](std::string_view line) { spdlog::info("{}", line); });
-  service.start();
-  spdlog::info("{} serves at {}: {} path groups, router {} of {}", start.site.name, start.site.listen,
-               terms.path_groups.size(), terms.me, terms.routers);
+  std::string checked;
+  bool schema = false;
+  auto* const check = app.add_subcommand("check", "check an operator's file, or print what may stand in one");
+  auto* const file = check->add_option("FILE", checked, "the file");
+  check->add_flag("--schema", schema, "print the schema")->excludes(file);
 
-  Timer signals(loop, [&] {
-    if (reading_asked != 0) {
-      reading_asked = 0;
-      read_again(start, service);
-    }
-    if (stop_asked != 0) {
-      stop_asked = 0;
-      spdlog::info("told to stop");
-      service.wind_down([&] { loop.stop(); });
-    }
-    signals.in(Span::ms(20));
-  });
-  signals.in(Span());
-  loop.run();
-  spdlog::info("stopped");
-  return 0;
-}
+  KeysOptions keys;
+  auto* const keys_command =
+      app.add_subcommand("keys", "make, list, retire and revoke signing keys; sign tokens");
+  keys_command->require_subcommand(1);
+  const auto key_command = [&](const char* name, const char* what, int (*run)(const KeysOptions&)) {
+    auto* const command = keys_command->add_subcommand(name, what);
+    command->add_option("--keys", keys.folder, "folder of key sets")->capture_default_str();
+    command->callback([&code, &keys, run] { code = run(keys); });
+    return command;
+  };
+  auto* const fresh =
+      key_command("new", "make a key; the set that routers read gains its public part", keys_new);
+  fresh->add_option("--alg", keys.algorithm, "EdDSA or ES256")
+      ->check(CLI::IsMember({"EdDSA", "ES256"}))
+      ->capture_default_str();
+  fresh->add_option("--kid", keys.kid, "its name; by default its time and kind");
+  fresh->add_option("--from", keys.from, "how long until it signs, like 10m")->capture_default_str();
+  key_command("list", "the keys and their states", keys_list);
+  auto* const retire =
+      key_command("retire", "it signs no more; what it signed goes on for the overlap", keys_retire);
+  retire->add_option("KID", keys.kid, "the key's name")->required();
+  auto* const revoke = key_command("revoke", "nothing that it signed counts any more", keys_revoke);
+  revoke->add_option("KID", keys.kid, "the key's name")->required();
+  auto* const token = key_command("token", "sign a token and print it", keys_token);
+  token->add_option("--sub", keys.subject, "subject")->required();
+  token->add_option("--tenant", keys.tenant, "tenant")->required();
+  token->add_option("--iss", keys.issuer, "issuer");
+  token->add_option("--aud", keys.audience, "audience");
+  token->add_option("--life", keys.life, "until it expires, like 1h")->capture_default_str();
+  token->add_option("--kid", keys.kid, "the key; by default the newest that signs");
+  token->add_option("--cert", keys.certificate, "PEM certificate that the token is bound to");
 
-}  // namespace
+  DemoOptions demoing;
+  auto* const demo_command =
+      app.add_subcommand("demo", "a router with stand-in hosts, discovery and desk on loopback");
+  demo_command
+      ->add_option("--seconds", demoing.seconds, "end after so long; 0: once both releases have ended")
+      ->capture_default_str();
+  demo_command->add_option("--port", demoing.port, "the router's port; 0: any")->capture_default_str();
 
-int main() {
-  std::signal(SIGPIPE, SIG_IGN);
-  for (const int signal : {SIGTERM, SIGINT}) std::signal(signal, [](int) { stop_asked = 1; });
-  std::signal(SIGHUP, [](int) { reading_asked = 1; });
-  Complaints complaints;
-  Poco::ErrorHandler::set(&complaints);
-  spdlog::set_default_logger(std::make_shared<spdlog::logger>("ashbeam", std::make_shared<LogSink>()));
-  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
   try {
-    return serve();
-  } catch (const Poco::Exception& e) {
-    std::fprintf(stderr, "ashbeam: %s\n", e.displayText().c_str());
-  } catch (const std::exception& e) {
-    std::fprintf(stderr, "ashbeam: %s\n", e.what());
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kWrongUse;
+  }
+  serving.json = log == "json";
+  if (check->parsed()) {
+    if (!schema && checked.empty()) {
+      std::fprintf(stderr, "ashbeam check: FILE or --schema is needed\n");
+      return kWrongUse;
+    }
+    return schema ? print_schema() : check_file(checked);
   }
-  return 1;
+  if (demo_command->parsed()) return demo(demoing);
+  if (keys_command->parsed()) return code;
+  return serve(serving);
 }
--- /dev/null
+++ b/src/program/operators.cpp
@@ -0,0 +1,237 @@
+#include "program/operators.hpp"
+
+#include <algorithm>
+#include <filesystem>
+
+#include "calling/directory.hpp"
+#include "records/value.hpp"
+#include "store/files.hpp"
+#include "transport/connection.hpp"
+
+namespace ashbeam {
+
+namespace {
+
+using records::Value;
+
+constexpr std::string_view kSchema =
+    R"cue(// What an operator's file may say. Spans are strings: "250ms", "5s", "10m", "24h".
+#File: {
+	calling?: #Calling // who is calling: tokens, certificates, rights, quotas
+	tls?:     #Tls     // a second listener, with TLS
+}
+
+// Rates are of all routers together.
+#Limit: {
+	per_s?:   number & >0 & <=1000000   // hits a second
+	burst:    *1 | (number & >=1 & <=1000000)
+	in_hand?: int & >=1 & <=1000000     // hits at once
+}
+
+#Subject: {
+	name:         string & !="" // or the beginning of names, with a * behind
+	path_groups?: [...string]   // all that its tenant may, if not given
+	limit?:       #Limit        // the tenant's `each`, if not given
+}
+
+#Tenant: {
+	name:          string & !="" // as in X-Account and in its tokens
+	issuer?:       string        // of its tokens: the common one, if not given
+	organisation?: string        // O of its certificates: its name, if not given
+	path_groups?:  [...string]   // all, if not given
+	limit?:        #Limit        // its subjects together
+	each?:         #Limit        // each of its subjects
+	only_listed:   *false | bool // subjects that are not listed have no rights
+	subjects:      [...#Subject]
+}
+
+#Tokens: {
+	keys:     string & !=""           // a folder of JWKS files
+	reread:   *"1s" | (span & >="100ms" & <="1h") // how often it is looked at; SIGHUP does it at once
+	issuer:   *"" | string            // "" takes any
+	audience: *"" | string
+	tenant_claim: *"tenant" | string
+	leeway:   *"30s" | (span & <="10m") // between the issuer's clock and ours
+	overlap:  *"60s" | (span & <="24h") // how long a retiring key still verifies
+	longest:  *"24h" | (span & >="1s" & <="720h") // from a token's issue to its expiry
+	cached:   *8192 | (int & >=16 & <=1000000)
+	verifications_per_s: *2000 | (number & >=1 & <=100000)
+	go_on:    *false | bool           // hosts see the token, too
+}
+
+#Calling: {
+	prove:    *"optional" | "required"
+	tokens?:  #Tokens
+	tenants:  [...#Tenant]
+	subjects: *65536 | (int & >=64 & <=4000000) // whose use is remembered, 43 bytes each
+	reach:    *2 | (int & >=1 & <=1000)         // routers that one subject's connections meet
+	bank:     *"10s" | (span & <="10m")         // how long what stands idle here is kept
+	lend:     *4 | (number & >=1 & <=1000)      // how much faster than its part banked room is used
+}
+
+#Tls: {
+	listen:      string & !=""
+	certificate: string & !="" // PEM, with what leads up to the root
+	key:         string & !="" // PEM, for its owner alone to read
+	clients:     *"off" | "optional" | "required"
+	trust?:      string // PEM: who signs clients' certificates
+	crl?:        string // PEM: lists of revoked ones
+	revoked?:    string // a line each: serial:HEX or key:SHA-256 of the public key, HEX
+	oldest:      *"1.2" | "1.3"
+	handshakes:  *64 | (int & >=1 & <=100000) // under way at once
+	handshake:   *"2s" | (span & >="50ms" & <="60s")
+	handshake_cpu: *0.25 | (number & >0 & <=1) // seconds of CPU a second
+	ticket_turn: *"1h" | (span & >="1s" & <="24h")
+}
+)cue";
+
+calling::Limit limit_of(const Value& v) {
+  calling::Limit l;
+  if (!v.given()) return l;
+  l.per_s = v["per_s"].number;
+  l.burst = v["burst"].number;
+  l.in_hand = static_cast<std::uint32_t>(v["in_hand"].number);
+  return l;
+}
+
+std::vector<std::string> names_of(const Value& list) {
+  std::vector<std::string> all;
+  for (const Value& v : list.items) all.push_back(v.text);
+  return all;
+}
+
+calling::TenantTerms tenant_of(const Value& v) {
+  calling::TenantTerms t;
+  t.name = v["name"].text, t.issuer = v["issuer"].text, t.organisation = v["organisation"].text;
+  t.any_path = !v["path_groups"].given();
+  t.may = names_of(v["path_groups"]);
+  t.all = limit_of(v["limit"]), t.each = limit_of(v["each"]);
+  t.only_listed = v["only_listed"].truth;
+  for (const Value& s : v["subjects"].items) {
+    calling::SubjectTerms one;
+    one.name = s["name"].text;
+    one.any_path = !s["path_groups"].given();
+    one.may = names_of(s["path_groups"]);
+    one.limited = s["limit"].given();
+    one.limit = limit_of(s["limit"]);
+    t.subjects.push_back(std::move(one));
+  }
+  return t;
+}
+
+class Reader {
+ public:
+  Reader(const std::string& path, const DoorTerms* door, const Terms* terms)
+      : path_(path), door_(door), terms_(terms) {}
+
+  Operators read(std::string_view text) {
+    records::Checked checked = records::check(kSchema, "#File", text);
+    problems_ = std::move(checked.problems);
+    Operators all;
+    if (problems_.empty()) {
+      const Value& calling = checked.value["calling"];
+      const Value& tls = checked.value["tls"];
+      if (calling.given()) all.calling = read_calling(calling);
+      if (tls.given()) all.tls = read_tls(tls);
+      if (calling.given() && calling["prove"].text == "required" && !calling["tokens"].given() &&
+          (!tls.given() || tls["clients"].text == "off"))
+        wrong(calling, "calling.prove", "tokens or tls.clients, or nobody can prove anything", "neither");
+    }
+    if (!problems_.empty()) throw OperatorsError(records::told(path_, problems_));
+    return all;
+  }
+
+ private:
+  void wrong(const Value& at, const std::string& path, const std::string& wanted, const std::string& found) {
+    problems_.push_back({at.at, path, "wanted " + wanted + ", found " + found});
+  }
+
+  std::string file(const Value& v) const {
+    if (v.text.empty()) return {};
+    const std::filesystem::path given(v.text);
+    return given.is_absolute() ? v.text : (std::filesystem::path(path_).parent_path() / given).string();
+  }
+
+  Operators::Calling read_calling(const Value& v) {
+    Operators::Calling c;
+    calling::CallingTerms& t = c.terms;
+    t.required = v["prove"].text == "required";
+    const Value& tokens = v["tokens"];
+    if (tokens.given()) {
+      c.keys = file(tokens["keys"]);
+      c.reread = tokens["reread"].span();
+      c.token_goes_on = tokens["go_on"].truth;
+      t.issuer = tokens["issuer"].text, t.audience = tokens["audience"].text;
+      t.tenant_claim = tokens["tenant_claim"].text;
+      t.leeway = tokens["leeway"].span(), t.overlap = tokens["overlap"].span();
+      t.longest_life = tokens["longest"].span();
+      t.cached_tokens = static_cast<std::size_t>(tokens["cached"].number);
+      t.verifications_per_s = tokens["verifications_per_s"].number;
+    }
+    t.subjects = static_cast<std::size_t>(v["subjects"].number);
+    t.reach = static_cast<std::uint32_t>(v["reach"].number);
+    t.bank = v["bank"].span();
+    t.lend = v["lend"].number;
+    for (const Value& tenant : v["tenants"].items) t.tenants.push_back(tenant_of(tenant));
+    if (terms_) {
+      t.routers = terms_->routers;
+      for (const PathGroup& g : terms_->path_groups)
+        t.longest_hit = std::max(t.longest_hit, g.client_timeout);
+    }
+    if (door_) {
+      t.path_groups = door_->path_groups, t.customers = door_->customers;
+      for (const std::string& p : calling::problems_of(t))
+        wrong(v["tenants"], "calling.tenants", "names that fit", p);
+    } else {  // whatever is named stands for itself
+      for (const auto& tenant : t.tenants) {
+        t.path_groups.insert(t.path_groups.end(), tenant.may.begin(), tenant.may.end());
+        for (const auto& s : tenant.subjects)
+          t.path_groups.insert(t.path_groups.end(), s.may.begin(), s.may.end());
+      }
+      for (const std::string& p : calling::problems_of(t))
+        wrong(v["tenants"], "calling.tenants", "names that fit", p);
+    }
+    return c;
+  }
+
+  TlsTerms read_tls(const Value& v) {
+    TlsTerms t;
+    t.listen = v["listen"].text;
+    if (!is_address(t.listen) && !t.listen.ends_with(":0"))
+      wrong(v["listen"], "tls.listen", "a numeric address and port", records::quoted(t.listen));
+    t.certificate = file(v["certificate"]), t.key = file(v["key"]);
+    t.trust = file(v["trust"]), t.crl = file(v["crl"]), t.revoked = file(v["revoked"]);
+    const std::string& clients = v["clients"].text;
+    t.clients = clients == "off"        ? TlsTerms::Clients::kOff
+                : clients == "optional" ? TlsTerms::Clients::kOptional
+                                        : TlsTerms::Clients::kRequired;
+    if (t.clients != TlsTerms::Clients::kOff && t.trust.empty())
+      wrong(v["clients"], "tls.trust", "who signs clients' certificates", "nothing");
+    t.only_13 = v["oldest"].text == "1.3";
+    t.handshakes = static_cast<std::size_t>(v["handshakes"].number);
+    t.handshake = v["handshake"].span();
+    t.handshake_cpu = v["handshake_cpu"].number;
+    t.ticket_turn = v["ticket_turn"].span();
+    return t;
+  }
+
+  const std::string& path_;
+  const DoorTerms* door_;
+  const Terms* terms_;
+  std::vector<records::Problem> problems_;
+};
+
+}  // namespace
+
+std::string_view operators_schema() { return kSchema; }
+
+Operators operators_from(std::string_view text, const std::string& path, const DoorTerms* door,
+                         const Terms* terms) {
+  return Reader(path, door, terms).read(text);
+}
+
+Operators read_operators(const std::string& path, const DoorTerms* door, const Terms* terms) {
+  return operators_from(read_file(path, records::kLongestFile), path, door, terms);
+}
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/program/operators.hpp
@@ -0,0 +1,37 @@
+// The operator's file: typed records, checked against the program's schema. What is not given stays off.
+#pragma once
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "calling/terms.hpp"
+#include "terms/terms.hpp"
+#include "transport/tls_terms.hpp"
+
+namespace ashbeam {
+
+struct Operators {
+  struct Calling {
+    calling::CallingTerms terms;
+    std::string keys;  // folder of key sets; empty: no tokens
+    Span reread;       // how often the folder is looked at
+    bool token_goes_on = false;
+  };
+  std::optional<Calling> calling;
+  std::optional<TlsTerms> tls;
+};
+
+struct OperatorsError : std::runtime_error {
+  using std::runtime_error::runtime_error;  // all that is wrong, a line each
+};
+
+std::string_view operators_schema();
+
+// Paths in the file are relative to its folder. `door` and `terms` say what the file's names stand for;
+// without them these names are taken as they are. Throws OperatorsError, FileError.
+Operators read_operators(const std::string& path, const DoorTerms* door, const Terms* terms);
+Operators operators_from(std::string_view text, const std::string& path, const DoorTerms* door,
+                         const Terms* terms);
+
+}  // namespace ashbeam
--- /dev/null
+++ b/src/program/serve.cpp
@@ -0,0 +1,112 @@
+// One router: reads what the machine tells it, serves until it is told to stop.
+#include <Poco/ErrorHandler.h>
+#include <Poco/Exception.h>
+#include <spdlog/spdlog.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+
+#include "program/commands.hpp"
+#include "program/environment.hpp"
+#include "program/guardian.hpp"
+#include "program/log_sink.hpp"
+#include "routing/service.hpp"
+
+namespace ashbeam {
+
+namespace {
+
+volatile std::sig_atomic_t stop_asked = 0, reading_asked = 0;
+
+class Complaints : public Poco::ErrorHandler {  // no exception ends the loop
+ public:
+  void exception(const Poco::Exception& e) override { spdlog::error("exception: {}", e.displayText()); }
+  void exception(const std::exception& e) override { spdlog::error("exception: {}", e.what()); }
+  void exception() override { spdlog::error("exception of an unknown kind"); }
+};
+
+Start read() {
+  return read_start([](const char* name) -> const char* { return std::getenv(name); });
+}
+
+// The configuration is read whole and checked before anything of it counts.
+void read_again(const Start& standing, Service& service) {
+  try {
+    const Start next = read();
+    read_terms(next.settings);
+    read_door_terms(next.settings);
+    service.move_to(next.site.discovery, next.site.desk);
+    spdlog::info("configuration read again: discovery {}, desk {}{}", next.site.discovery, next.site.desk,
+                 next.settings == standing.settings ? "" : "; other settings count from the next start");
+  } catch (const std::exception& e) {
+    spdlog::error("configuration can't be used, the old one stands: {}", e.what());
+  }
+}
+
+int run(const ServeOptions& options) {
+  Start start = read();
+  rlimit descriptors{};  // the machine may grant fewer than the configuration says
+  if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
+    start.sockets = std::min<std::size_t>(start.sockets, std::max<rlim_t>(descriptors.rlim_cur, 64));
+  }
+  const Terms terms = read_terms(start.settings);
+  const DoorTerms door = read_door_terms(start.settings);
+  const Limits limits = limits_for(start.sockets, door, terms);
+
+  Loop loop;
+  Service service(loop, limits, terms, door, start.site,
+                  [](std::string_view line) { spdlog::info("{}", line); });
+  std::unique_ptr<Guardian> guardian;  // nothing of it is there where no file is named
+  if (!options.operators.empty()) {
+    guardian = std::make_unique<Guardian>(loop, service, door, terms, options.operators, start.site.seed,
+                                          [](std::string_view line) { spdlog::info("{}", line); });
+  }
+  service.start();
+  spdlog::info("{} serves at {}: {} path groups, router {} of {}", start.site.name, start.site.listen,
+               terms.path_groups.size(), terms.me, terms.routers);
+
+  Timer signals(loop, [&] {
+    if (reading_asked != 0) {
+      reading_asked = 0;
+      read_again(start, service);
+      if (guardian) guardian->reread();
+    }
+    if (stop_asked != 0) {
+      stop_asked = 0;
+      spdlog::info("told to stop");
+      service.wind_down([&] { loop.stop(); });
+    }
+    signals.in(Span::ms(20));
+  });
+  signals.in(Span());
+  loop.run();
+  spdlog::info("stopped");
+  return 0;
+}
+
+}  // namespace
+
+int serve(const ServeOptions& options) {
+  std::signal(SIGPIPE, SIG_IGN);
+  for (const int signal : {SIGTERM, SIGINT}) std::signal(signal, [](int) { stop_asked = 1; });
+  std::signal(SIGHUP, [](int) { reading_asked = 1; });
+  Complaints complaints;
+  Poco::ErrorHandler::set(&complaints);
+  spdlog::set_default_logger(std::make_shared<spdlog::logger>("ashbeam", std::make_shared<LogSink>()));
+  if (options.json) spdlog::set_formatter(std::make_unique<JsonLines>());
+  else spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  try {
+    return run(options);
+  } catch (const Poco::Exception& e) {
+    std::fprintf(stderr, "ashbeam: %s\n", e.displayText().c_str());
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "ashbeam: %s\n", e.what());
+  }
+  return 1;
+}
+
+}  // namespace ashbeam
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -339,6 +339,10 @@
       return "OK";
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
     case 404:
       return "Not Found";
     case 405:
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/limits.hpp"
+#include "calling/gate.hpp"
 #include "protocol/http.hpp"
 #include "transport/connection.hpp"
 #include "transport/listener.hpp"
@@ -25,7 +26,10 @@
   void answer_plain(unsigned status, std::string_view fields = {});  // with the status' words as its body
   // `overdue` is told if the request at hand has no answer by then.
   void answer_by(Instant when) { timer_.at(when); }
+  // As the connection's handshake proved it; null where it has proven none.
+  const calling::Certificate* certificate() const { return nullptr; }
   std::uint32_t hit = UINT32_MAX;  // the owner's mark on the request at hand
+  calling::Presence presence;      // and on the connection
 
  private:
   friend class Callers;
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -36,6 +36,27 @@
   return lines;
 }
 
+// Guards against clients that name themselves what hosts believe from us: some hosts take - and _ for one.
+bool says_caller(std::string_view name) {
+  constexpr std::string_view kOurs = "x-caller";
+  return std::equal(name.begin(), name.end(), kOurs.begin(), kOurs.end(), [](char a, char b) {
+    if (a == '_') a = '-';
+    return (a >= 'A' && a <= 'Z' ? static_cast<char>(a - 'A' + 'a') : a) == b;
+  });
+}
+
+// As hosts are told of a hit whose caller was asked for: the token is ours to keep, unless it is to go on.
+std::string vouched_lines(const http::Head& head, const calling::Identity& who, bool token_goes_on) {
+  std::string lines;
+  for (const http::Field& f : head.fields()) {
+    if (!goes_on(head, f.name) || says_caller(f.name)) continue;
+    if (!who.caller.empty() && !token_goes_on && http::same_name(f.name, "Authorization")) continue;
+    lines += f.line;
+  }
+  if (!who.caller.empty()) lines.append("X-Caller: ").append(who.caller).append("\r\n");
+  return lines;
+}
+
 // Is a figure that decisions need missing, or there twice, so that a host might take the other one?
 bool unclear(const http::Head& head, Repeats repeats, std::size_t longest_id) {
   for (const char* name : {"X-Correlation-Id", "X-Time-Left-Ms", "Idempotency-Key"}) {
@@ -72,7 +93,7 @@
           loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
           [this](const char* why) { list_lost(why); }),
       ids_(limits.ids), stop_(loop, [this] { check_wound_down(); }),
-      module_(make_router(terms, site.seed, *this)) {
+      refused_(loop, [this] { tell_refused(); }), module_(make_router(terms, site.seed, *this)) {
   for (const PathGroup& g : terms.path_groups) repeats_.push_back(g.repeats);
 }
 
@@ -96,6 +117,8 @@
     if (head.word(0) != "GET") return caller.answer_plain(405, "Allow: GET\r\n");
     return caller.answer_plain(ready_ && !winding_down_ ? 200 : 503);
   }
+  calling::Identity who;
+  if (gate_ && !known(caller, head, who)) return;
   path.remove_prefix(1);
   const unsigned group = index_of(door_.path_groups, path.substr(0, path.find('/')));
   if (group >= door_.path_groups.size()) return caller.answer_plain(404);
@@ -109,9 +132,13 @@
     return caller.answer_plain(400);
   const Instant now = loop_.now(),
                 give_up_at = now + Span::ms(std::min(static_cast<double>(*left_ms), 3.6e6));
+  calling::Ticket ticket;
+  if (gate_ && !let_in(caller, who, group, ticket)) return;
   // Guards against a hit run twice since another client came with its id, during it or soon after.
-  if (!ids_.take(*head.find("X-Correlation-Id"), now, give_up_at + limits_.id_kept))
+  if (!ids_.take(*head.find("X-Correlation-Id"), now, give_up_at + limits_.id_kept)) {
+    if (gate_) gate_->ended(ticket);
     return caller.answer_plain(409);
+  }
 
   const HitId place = hits_.take();
   Hit& hit = hits_[place];
@@ -120,7 +147,9 @@
   hit.caller = &caller;
   caller.hit = place;
   hit.give_up_at = give_up_at;
-  hit.head.assign(head.first_line()).append(kept_lines(head));
+  hit.ticket = ticket;
+  hit.head.assign(head.first_line());
+  hit.head += gate_ ? vouched_lines(head, who, token_goes_on_) : kept_lines(head);
   hit.body = request.take_raw_body();
   caller.answer_by(give_up_at + limits_.overdue);
   std::uint64_t key = 0;
@@ -131,10 +160,70 @@
       if (name == "predictedMs") hint = value;
     });
   }
-  const unsigned customer = index_of(door_.customers, head.find("X-Account").value_or(""));
+  const unsigned customer =
+      who.caller.empty() ? index_of(door_.customers, head.find("X-Account").value_or("")) : who.customer;
   tell([&](Router& r) { r.taken(place, group, customer, key, give_up_at, hint); });
 }
 
+// ---- Who is calling ----
+
+void Service::guard(std::unique_ptr<calling::Gate> gate, bool token_goes_on) {
+  gate_ = std::move(gate);
+  token_goes_on_ = token_goes_on;
+}
+
+bool Service::known(Caller& caller, const http::Head& head, calling::Identity& who) {
+  calling::Asked asked;
+  asked.authorization = head.find("Authorization").value_or("");
+  asked.twice = head.count("Authorization") > 1 || head.count("X-Account") > 1;
+  asked.account = head.find("X-Account").value_or("");
+  asked.certificate = caller.certificate();
+  Span retry_after;
+  const calling::Refusal why = gate_->identify(asked, caller.presence, loop_.now(), who, retry_after);
+  if (why != calling::Refusal::kNone) refuse(caller, why, retry_after);
+  return why == calling::Refusal::kNone;
+}
+
+bool Service::let_in(Caller& caller, const calling::Identity& who, unsigned group, calling::Ticket& ticket) {
+  Span retry_after;
+  const calling::Refusal why = gate_->let_in(who, group, loop_.now(), ticket, retry_after);
+  if (why != calling::Refusal::kNone) refuse(caller, why, retry_after);
+  return why == calling::Refusal::kNone;
+}
+
+void Service::refuse(Caller& caller, calling::Refusal why, Span retry_after) {
+  if (!refused_.armed()) refused_.in(Span::s(1));
+  const unsigned status = calling::status_of(why);
+  const std::string word(calling::word_of(why));
+  if (status == 403) return caller.answer_plain(403, "X-Refused: " + word + "\r\n");
+  if (status == 401) {
+    return caller.answer_plain(
+        401,
+        why == calling::Refusal::kMissing
+            ? "WWW-Authenticate: Bearer\r\n"
+            : "WWW-Authenticate: Bearer error=\"invalid_token\", error_description=\"" + word + "\"\r\n");
+  }
+  char after[48];
+  std::snprintf(after, sizeof after, "Retry-After: %.3f\r\n",
+                static_cast<double>(retry_after.us() / 1000 + 1) / 1e3);
+  caller.answer_plain(429, after + ("X-Refused: " + word + "\r\n"));
+}
+
+// One line for all of a second.
+void Service::tell_refused() {
+  constexpr auto kReasons = static_cast<std::size_t>(calling::Refusal::kCount);
+  refused_told_.resize(kReasons, 0);
+  std::string line;
+  for (std::size_t i = 1; i < kReasons; ++i) {
+    const auto why = static_cast<calling::Refusal>(i);
+    const std::uint64_t more = gate_->refused(why) - refused_told_[i];
+    if (more == 0) continue;
+    refused_told_[i] += more;
+    line.append(line.empty() ? "" : ", ").append(calling::word_of(why)).append(" " + std::to_string(more));
+  }
+  note_("calling: refused within 1 s: " + line);
+}
+
 Caller* Service::take_caller(HitId id) {
   Caller* const caller = hits_[id].caller;
   hits_[id].caller = nullptr;
@@ -165,6 +254,7 @@
   Hit& hit = hits_[id];
   if (!hit.live || hit.caller || hit.out > 0) return;
   --in_hand_;
+  if (gate_) gate_->ended(hit.ticket);
   hit = Hit{};
   hits_.give_back(id);
 }
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -9,6 +9,7 @@
 
 #include "base/limits.hpp"
 #include "base/slab.hpp"
+#include "calling/gate.hpp"
 #include "choice.hpp"
 #include "routing/callers.hpp"
 #include "routing/desk.hpp"
@@ -38,6 +39,9 @@
   void wind_down(std::function<void()> ended);
   // Discovery and the release desk are elsewhere from now on; what was learnt stands.
   void move_to(const std::string& discovery, const std::string& desk);
+  // From now on who calls is asked before a hit is taken; before `start`, or not at all.
+  void guard(std::unique_ptr<calling::Gate> gate, bool token_goes_on);
+  calling::Gate* gate() { return gate_.get(); }
   std::uint16_t port() const { return callers_.port(); }
   std::size_t host_places() const { return hosts_.size(); }
 
@@ -54,6 +58,7 @@
     std::string head, body;  // of each forward, but for the time left
     std::vector<Leg> legs;
     unsigned out = 0;
+    calling::Ticket ticket;
   };
   struct Known {  // of a host, as last listed
     std::string address;
@@ -75,6 +80,12 @@
   void tell_peers(std::span<const std::uint8_t>) override {}  // the pages give routers no way to each other
   void log(std::string_view line) override;
 
+  // Who is calling: false where the request has been answered with why not.
+  bool known(Caller& caller, const http::Head& head, calling::Identity& who);
+  bool let_in(Caller& caller, const calling::Identity& who, unsigned group, calling::Ticket& ticket);
+  void refuse(Caller& caller, calling::Refusal why, Span retry_after);
+  void tell_refused();
+
   // What comes in.
   void came(Caller& caller, http::Messages& request);
   void left(Caller& caller);
@@ -126,6 +137,10 @@
   Instant stop_at_;
   Timer stop_;
   std::function<void()> wound_down_;
+  std::unique_ptr<calling::Gate> gate_;
+  bool token_goes_on_ = false;
+  std::vector<std::uint64_t> refused_told_;  // by reason, as last logged
+  Timer refused_;
   std::unique_ptr<Router> module_;
 };
 
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -42,6 +42,15 @@
   if (put_off_.size() == 1) set_wait();
 }
 
+void Loop::hand_over(std::function<void()> what) {
+  {
+    const std::lock_guard lock(handing_);
+    handed_.push_back(std::move(what));
+    any_handed_ = true;
+  }
+  wakeUp();
+}
+
 // POCO waits in whole milliseconds and cuts fractions off: rounded up here, or the last one would be spun
 // away.
 void Loop::set_wait() {
@@ -54,6 +63,12 @@
 
 // What was put off comes first, then the timers that are due; a timer set meanwhile waits for the next turn.
 void Loop::run_due() {
+  if (any_handed_) {
+    const std::lock_guard lock(handing_);
+    any_handed_ = false;
+    for (auto& what : handed_) put_off_.push_back(std::move(what));
+    handed_.clear();
+  }
   running_.swap(put_off_);
   for (auto& what : running_) guarded(what);
   running_.clear();
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -2,9 +2,11 @@
 #pragma once
 #include <Poco/Net/SocketReactor.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <vector>
 
 #include "base/time.hpp"
@@ -21,6 +23,8 @@
   void stop() { Poco::Net::SocketReactor::stop(); }
   // Runs `what` after the callback at hand, before the next wait.
   void later(std::function<void()> what);
+  // The same from any other thread: the one way in which a worker answers.
+  void hand_over(std::function<void()> what);
   // Destroys `what` then: a callback may so end its own object.
   template <class T>
   void destroy_later(std::unique_ptr<T> what) {
@@ -42,6 +46,9 @@
   std::map<Due, class Timer*> timers_;
   std::uint64_t next_number_ = 0;
   std::vector<std::function<void()>> put_off_, running_;
+  std::mutex handing_;
+  std::vector<std::function<void()>> handed_;  // under the mutex
+  std::atomic<bool> any_handed_ = false;
 };
 
 // Calls back once at a time that may be moved or taken back; destroying it takes it back.
