--- a/src/program/guardian.cpp
+++ b/src/program/guardian.cpp
@@ -11,11 +11,13 @@
   Fresh fresh = read("");
   if (!fresh.problem.empty()) throw OperatorsError(fresh.problem);
   standing_ = fresh.operators;
+  if (!standing_.calling && !standing_.tls) return;
+  worker_ = std::make_unique<Worker>(loop_);
+  if (standing_.tls) service_.also_listen(*standing_.tls, fresh.tls);
   if (!standing_.calling) return;
   service_.guard(std::make_unique<calling::Gate>(standing_.calling->terms, seed, loop_.now()),
                  standing_.calling->token_goes_on);
   take_keys(fresh.keys);
-  worker_ = std::make_unique<Worker>(loop_);
   if (!standing_.calling->keys.empty()) look_.in(standing_.calling->reread);
 }
 
@@ -29,6 +31,8 @@
       if (fresh.operators.calling) folder = fresh.operators.calling->keys;
     }
     if (!folder.empty()) fresh.keys = read_key_folder(folder);
+    if (fresh.operators.tls)
+      fresh.tls = std::make_shared<TlsMaterial>(*fresh.operators.tls, read_tls_files(*fresh.operators.tls));
   } catch (const std::exception& e) {
     fresh.problem = e.what();
   }
@@ -78,9 +82,15 @@
   }
   complaint_.clear();
   if (all) {
-    if (!fresh.operators.calling)
-      return note_("operator's file: calling can't be taken off but by a restart");
+    // What listens and whether callers are asked is settled at the start; what they are asked is not.
+    if (fresh.operators.calling.has_value() != standing_.calling.has_value() ||
+        fresh.operators.tls.has_value() != standing_.tls.has_value() ||
+        (fresh.tls && fresh.operators.tls->listen != standing_.tls->listen))
+      return note_(
+          "operator's file: the old one stands: calling, tls and its listener come and go by a restart");
     standing_ = fresh.operators;
+    if (fresh.tls) service_.tls()->take(*standing_.tls, fresh.tls);
+    if (!standing_.calling) return note_("operator's file read again");
     service_.gate()->terms(standing_.calling->terms, loop_.now());
     note_("operator's file read again: " + std::to_string(standing_.calling->terms.tenants.size()) +
           " tenants");
--- a/src/program/guardian.hpp
+++ b/src/program/guardian.hpp
@@ -25,6 +25,7 @@
     std::string problem;
     Operators operators;
     KeyFolder keys;
+    std::shared_ptr<TlsMaterial> tls;
   };
   Fresh read(const std::string& keys_only) const;
   void take(const Fresh& fresh, bool all);
--- a/src/program/operators.cpp
+++ b/src/program/operators.cpp
@@ -230,6 +230,16 @@
   return Reader(path, door, terms).read(text);
 }
 
+TlsFiles read_tls_files(const TlsTerms& terms) {
+  constexpr std::size_t kLongestPem = 1024 * 1024, kLongestList = 16 * kLongestPem;
+  const auto read = [](const std::string& path, std::size_t most) {
+    return path.empty() ? "" : read_file(path, most);
+  };
+  need_private(terms.key);
+  return {read(terms.certificate, kLongestPem), read(terms.key, kLongestPem), read(terms.trust, kLongestPem),
+          read(terms.crl, kLongestList), read(terms.revoked, kLongestList)};
+}
+
 Operators read_operators(const std::string& path, const DoorTerms* door, const Terms* terms) {
   return operators_from(read_file(path, records::kLongestFile), path, door, terms);
 }
--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -1,16 +1,23 @@
 #include "routing/callers.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 
 namespace ashbeam {
 
-Caller::Caller(Callers& callers, int accepted, std::size_t place)
+Caller::Caller(Callers& callers, int accepted, std::unique_ptr<Veil> veil, std::size_t place)
     : callers_(callers), place_(place), since_(callers.loop_.now()),
-      connection_(callers.loop_, callers.limits_, *this, accepted),
+      connection_(callers.loop_, callers.limits_, *this, accepted, std::move(veil)),
       requests_(http::Messages::Side::kRequests, callers.limits_.head, callers.limits_.body),
       timer_(callers.loop_, [this] { late(); }) {
   // Guards against clients that connect and say nothing, or never come to an end of what they say.
-  timer_.in(callers.limits_.first_request);
+  timer_.in(connection_.shaking() ? callers.handshake_() : callers.limits_.first_request);
+}
+
+void Caller::opened() {
+  since_ = callers_.loop_.now();
+  timer_.in(callers_.limits_.first_request);
 }
 
 void Caller::bytes_came() {
@@ -98,6 +105,7 @@
 }
 
 void Caller::late() {
+  if (connection_.shaking()) return callers_.remove(this);
   if (at_ == At::kPausing) {
     at_ = At::kReading;
     if (connection_.unread().empty()) return wait_for_more();
@@ -117,17 +125,31 @@
                  Left overdue)
     : loop_(loop), limits_(limits), came_(std::move(came)), left_(std::move(left)),
       overdue_(std::move(overdue)), room_(loop, [this] { make_room(); }),
-      listener_(loop, address, limits.backlog, [this](int fd) { accepted(fd); }) {}
+      listener_(loop, address, limits.backlog, [this](int fd) { accepted(fd, false); }) {}
+
+void Callers::also_listen(const std::string& address, Veiled veil, std::function<Span()> handshake) {
+  veil_ = std::move(veil);
+  handshake_ = std::move(handshake);
+  veiled_ =
+      std::make_unique<Listener>(loop_, address, limits_.backlog, [this](int fd) { accepted(fd, true); });
+}
+
+void Callers::pause_doors(bool on) {
+  listener_.pause(on);
+  if (veiled_) veiled_->pause(on);
+}
 
-void Callers::accepted(int fd) {
+void Callers::accepted(int fd, bool veiled) {
   if (fd < 0) return pause();
-  callers_.push_back(std::make_unique<Caller>(*this, fd, callers_.size()));
+  std::unique_ptr<Veil> veil;
+  if (veiled && !(veil = veil_(fd))) return void(::close(fd));
+  callers_.push_back(std::make_unique<Caller>(*this, fd, std::move(veil), callers_.size()));
   make_room();
 }
 
 // As the last resort accepting pauses, until a connection ends or has stood idle long enough.
 void Callers::make_room() {
-  if (!full()) return listener_.pause(false);
+  if (!full()) return pause_doors(false);
   if (!close_idlest()) pause();
 }
 
@@ -144,7 +166,7 @@
 }
 
 void Callers::pause() {
-  listener_.pause(true);
+  pause_doors(true);
   room_.in(limits_.young);
 }
 
@@ -178,7 +200,7 @@
   callers_[place]->place_ = place;
   loop_.destroy_later(std::move(callers_.back()));
   callers_.pop_back();
-  listener_.pause(false);
+  pause_doors(false);
 }
 
 void Callers::wind_down() {
@@ -188,6 +210,11 @@
 }
 
 void Callers::close_door() {
+  if (veiled_) {
+    veiled_->pause(false);
+    veiled_->accept_waiting();
+    veiled_->close();
+  }
   listener_.pause(false);
   listener_.accept_waiting();
   listener_.close();
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -20,20 +20,24 @@
 // One client's connection.
 class Caller : private Connection::Owner {
  public:
-  Caller(Callers& callers, int accepted, std::size_t place);
+  Caller(Callers& callers, int accepted, std::unique_ptr<Veil> veil, std::size_t place);
   // The answer to the request at hand. `fields` are whole header lines and say how `body` is framed.
   void answer(unsigned status, std::string_view fields, std::string_view body);
   void answer_plain(unsigned status, std::string_view fields = {});  // with the status' words as its body
   // `overdue` is told if the request at hand has no answer by then.
   void answer_by(Instant when) { timer_.at(when); }
-  // As the connection's handshake proved it; null where it has proven none.
-  const calling::Certificate* certificate() const { return nullptr; }
-  std::uint32_t hit = UINT32_MAX;  // the owner's mark on the request at hand
-  calling::Presence presence;      // and on the connection
+  // What the connection's handshake has proven, as things stand now; nothing on a plain one.
+  Veil::Proof proof(Instant now) const {
+    return connection_.veil() ? connection_.veil()->proof(now) : Veil::Proof();
+  }
+  void end_after() { last_ = true; }  // the connection ends after the answer to the request at hand
+  std::uint32_t hit = UINT32_MAX;     // the owner's mark on the request at hand
+  calling::Presence presence;         // and on the connection
 
  private:
   friend class Callers;
   enum class At { kReading, kAnswering, kWriting, kPausing, kLingering };
+  void opened() override;
   void bytes_came() override;
   void all_written() override;
   void ended() override;
@@ -59,6 +63,10 @@
   using Left = std::function<void(Caller&)>;
   Callers(Loop& loop, const Limits& limits, const std::string& address, Came came, Left left, Left overdue);
   std::uint16_t port() const { return listener_.port(); }
+  // A second door. `veil` may say no with null. A handshake ends within `handshake`. Throws Poco::Exception.
+  using Veiled = std::function<std::unique_ptr<Veil>(int fd)>;
+  void also_listen(const std::string& address, Veiled veil, std::function<Span()> handshake);
+  std::uint16_t veiled_port() const { return veiled_ ? veiled_->port() : 0; }
   // From now on each answer is the last of its connection, and connections between requests are closed.
   void wind_down();
   void close_door();          // after all that the machine has accepted is taken
@@ -66,7 +74,8 @@
 
  private:
   friend class Caller;
-  void accepted(int fd);
+  void accepted(int fd, bool veiled);
+  void pause_doors(bool on);
   void remove(Caller* caller);
   void make_room();
   // Guards against clients that ask once and stay: of those between requests the one idle longest is closed.
@@ -86,6 +95,9 @@
   std::vector<std::unique_ptr<Caller>> callers_;
   Timer room_;
   Listener listener_;
+  Veiled veil_;
+  std::function<Span()> handshake_;
+  std::unique_ptr<Listener> veiled_;
 };
 
 }  // namespace ashbeam
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -117,8 +117,14 @@
     if (head.word(0) != "GET") return caller.answer_plain(405, "Allow: GET\r\n");
     return caller.answer_plain(ready_ && !winding_down_ ? 200 : 503);
   }
+  const Instant now = loop_.now();
+  const Veil::Proof proof = caller.proof(now);
+  if (proof.refused) {
+    caller.end_after();
+    return refuse(caller, calling::Refusal::kCertificate, Span());
+  }
   calling::Identity who;
-  if (gate_ && !known(caller, head, who)) return;
+  if (gate_ && !known(caller, head, proof, who)) return;
   path.remove_prefix(1);
   const unsigned group = index_of(door_.path_groups, path.substr(0, path.find('/')));
   if (group >= door_.path_groups.size()) return caller.answer_plain(404);
@@ -130,8 +136,7 @@
   // What may run again has no body: a host might take one for a request behind it.
   if (!left_ms || (repeats == Repeats::kRepeatable && !request.raw_body().empty()))
     return caller.answer_plain(400);
-  const Instant now = loop_.now(),
-                give_up_at = now + Span::ms(std::min(static_cast<double>(*left_ms), 3.6e6));
+  const Instant give_up_at = now + Span::ms(std::min(static_cast<double>(*left_ms), 3.6e6));
   calling::Ticket ticket;
   if (gate_ && !let_in(caller, who, group, ticket)) return;
   // Guards against a hit run twice since another client came with its id, during it or soon after.
@@ -172,12 +177,19 @@
   token_goes_on_ = token_goes_on;
 }
 
-bool Service::known(Caller& caller, const http::Head& head, calling::Identity& who) {
+void Service::also_listen(const TlsTerms& terms, std::shared_ptr<TlsMaterial> material) {
+  tls_ = std::make_unique<TlsDoor>(loop_, terms, std::move(material), note_);
+  callers_.also_listen(
+      terms.listen, [this](int fd) { return tls_->veil(fd); }, [this] { return tls_->handshake(); });
+}
+
+bool Service::known(Caller& caller, const http::Head& head, const Veil::Proof& proof,
+                    calling::Identity& who) {
   calling::Asked asked;
   asked.authorization = head.find("Authorization").value_or("");
   asked.twice = head.count("Authorization") > 1 || head.count("X-Account") > 1;
   asked.account = head.find("X-Account").value_or("");
-  asked.certificate = caller.certificate();
+  asked.certificate = proof.certificate;
   Span retry_after;
   const calling::Refusal why = gate_->identify(asked, caller.presence, loop_.now(), who, retry_after);
   if (why != calling::Refusal::kNone) refuse(caller, why, retry_after);
@@ -192,7 +204,7 @@
 }
 
 void Service::refuse(Caller& caller, calling::Refusal why, Span retry_after) {
-  if (!refused_.armed()) refused_.in(Span::s(1));
+  if (gate_ && !refused_.armed()) refused_.in(Span::s(1));
   const unsigned status = calling::status_of(why);
   const std::string word(calling::word_of(why));
   if (status == 403) return caller.answer_plain(403, "X-Refused: " + word + "\r\n");
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -18,6 +18,7 @@
 #include "routing/ids.hpp"
 #include "terms/terms.hpp"
 #include "transport/loop.hpp"
+#include "transport/tls.hpp"
 
 namespace ashbeam {
 
@@ -42,7 +43,11 @@
   // From now on who calls is asked before a hit is taken; before `start`, or not at all.
   void guard(std::unique_ptr<calling::Gate> gate, bool token_goes_on);
   calling::Gate* gate() { return gate_.get(); }
+  // A second listener, behind TLS.
+  void also_listen(const TlsTerms& terms, std::shared_ptr<TlsMaterial> material);
+  TlsDoor* tls() { return tls_.get(); }
   std::uint16_t port() const { return callers_.port(); }
+  std::uint16_t tls_port() const { return callers_.veiled_port(); }
   std::size_t host_places() const { return hosts_.size(); }
 
  private:
@@ -81,7 +86,7 @@
   void log(std::string_view line) override;
 
   // Who is calling: false where the request has been answered with why not.
-  bool known(Caller& caller, const http::Head& head, calling::Identity& who);
+  bool known(Caller& caller, const http::Head& head, const Veil::Proof& proof, calling::Identity& who);
   bool let_in(Caller& caller, const calling::Identity& who, unsigned group, calling::Ticket& ticket);
   void refuse(Caller& caller, calling::Refusal why, Span retry_after);
   void tell_refused();
@@ -118,6 +123,7 @@
   std::vector<Repeats> repeats_;  // by path group
   Site site_;
   Note note_;
+  std::unique_ptr<TlsDoor> tls_;  // before the connections that stand behind it
   Callers callers_;
   HostPools pools_;
   Discovery discovery_;
--- /dev/null
+++ b/src/standins/client.cpp
@@ -0,0 +1,56 @@
+#include "standins/client.hpp"
+
+#include <utility>
+
+namespace ashbeam::standins {
+
+void Client::ask(const std::string& request, Next next) {
+  next_ = std::move(next);
+  answers_.next();
+  if (connection_ && !connection_->quiet()) hang_up();  // closed between requests, as a router may
+  if (!connection_) {
+    Connection::MakeVeil veil;
+    if (tls_) veil = [tls = tls_](int fd) { return tls->veil(fd); };
+    connection_ = std::make_unique<Connection>(loop_, limits_, *this, address_, std::move(veil));
+  }
+  connection_->write(request);
+}
+
+void Client::hang_up() {
+  if (!connection_) return;
+  connection_->close();
+  loop_.destroy_later(std::move(connection_));
+}
+
+void Client::bytes_came() {
+  std::string_view bytes = connection_->unread();
+  const std::size_t had = bytes.size();
+  if (!next_) {
+    ++stray_;
+    connection_->take(had);
+    return;
+  }
+  const auto got = answers_.feed(bytes);
+  connection_->take(had - bytes.size());
+  if (got == http::Messages::Got::kMore) return;
+  if (!bytes.empty()) ++stray_;
+  if (got == http::Messages::Got::kBad) {
+    hang_up();
+    return finish({});
+  }
+  if (answers_.last()) hang_up();
+  finish({answers_.status(), &answers_, true});
+}
+
+void Client::ended() {
+  const bool written = !connection_->unwritten();
+  hang_up();
+  if (next_) finish({0, nullptr, written});
+}
+
+void Client::finish(const Answer& answer) {
+  const Next next = std::exchange(next_, nullptr);
+  next(answer);
+}
+
+}  // namespace ashbeam::standins
--- /dev/null
+++ b/src/standins/client.hpp
@@ -0,0 +1,48 @@
+// A stand-in client: one connection at a time, one request at a time, plain or behind TLS.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/limits.hpp"
+#include "protocol/http.hpp"
+#include "standins/pki.hpp"
+#include "transport/connection.hpp"
+#include "transport/loop.hpp"
+
+namespace ashbeam::standins {
+
+class Client : public Connection::Owner {
+ public:
+  struct Answer {
+    unsigned status = 0;  // 0: none, the connection ended
+    const http::Messages* message = nullptr;
+    bool whole_before_end = false;  // the request had been written
+  };
+  using Next = std::function<void(const Answer&)>;
+  Client(Loop& loop, const Limits& limits, std::string address, std::shared_ptr<ClientTls> tls = nullptr)
+      : loop_(loop), limits_(limits), address_(std::move(address)), tls_(std::move(tls)),
+        answers_(http::Side::kAnswers, limits.head, limits.body) {}
+  // Only once the one before has its answer. `next` is never called before this returns.
+  void ask(const std::string& request, Next next);
+  bool busy() const { return next_ != nullptr; }
+  void hang_up();                                 // the next request opens a new connection
+  std::uint64_t stray() const { return stray_; }  // bytes that answer nothing
+  bool connected() const { return connection_ != nullptr; }
+  bool resumed() const { return tls_ && tls_->last_resumed(); }
+
+ private:
+  void bytes_came() override;
+  void ended() override;
+  void finish(const Answer& answer);
+  Loop& loop_;
+  const Limits& limits_;
+  std::string address_;
+  std::shared_ptr<ClientTls> tls_;
+  std::unique_ptr<Connection> connection_;
+  http::Messages answers_;
+  Next next_;
+  std::uint64_t stray_ = 0;
+};
+
+}  // namespace ashbeam::standins
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -48,8 +48,9 @@
   }
 }
 
-Connection::Connection(Loop& loop, const Limits& limits, Owner& owner, const std::string& address)
-    : loop_(loop), limits_(limits), owner_(owner) {
+Connection::Connection(Loop& loop, const Limits& limits, Owner& owner, const std::string& address,
+                       MakeVeil veil)
+    : loop_(loop), limits_(limits), owner_(owner), make_veil_(std::move(veil)) {
   try {
     socket_.connectNB(numeric(address));
     socket_.setNoDelay(true);
@@ -59,30 +60,68 @@
   }
 }
 
-Connection::Connection(Loop& loop, const Limits& limits, Owner& owner, int accepted)
-    : loop_(loop), limits_(limits), owner_(owner), socket_(Accepted(accepted)), state_(State::kOpen),
-      was_open_(true) {
+Connection::Connection(Loop& loop, const Limits& limits, Owner& owner, int accepted,
+                       std::unique_ptr<Veil> veil)
+    : loop_(loop), limits_(limits), owner_(owner), socket_(Accepted(accepted)),
+      state_(veil ? State::kShaking : State::kOpen), was_open_(!veil), veil_(std::move(veil)) {
   socket_.setBlocking(false);
   socket_.setNoDelay(true);
   watch(true, writing_);
+  if (veil_)
+    veil_->on_turn([this] {
+      if (state_ == State::kShaking) shake();
+    });
 }
 
 void Connection::take(std::size_t n) {
   taken_ += n;
   if (taken_ == in_.size()) in_.clear(), taken_ = 0;
-  if (state_ == State::kOpen && unread().size() < limits_.unread) watch(true, writing_);
+  if (state_ != State::kOpen || unread().size() >= limits_.unread) return;
+  if (!reading_) read_held();
+  watch(true, writing_);
+}
+
+// Guards against waiting for a socket whose bytes have been read already, and stand behind the veil.
+void Connection::read_held() {
+  if (!veil_ || !veil_->holds()) return;
+  loop_.later([this, alive = std::weak_ptr<int>(alive_)] {
+    if (!alive.expired() && state_ == State::kOpen && reading_) readable({});
+  });
+}
+
+void Connection::shake() {
+  switch (veil_->shake()) {
+    case Veil::Step::kRead:
+      return watch(true, false);
+    case Veil::Step::kWrite:
+      return watch(true, true);
+    case Veil::Step::kLater:
+      return watch(false, false);
+    case Veil::Step::kFailed:
+      return end();
+    case Veil::Step::kDone:
+      break;
+  }
+  state_ = State::kOpen;
+  was_open_ = true;
+  watch(true, false);
+  flush();
+  read_held();
+  if (state_ == State::kOpen) owner_.opened();
 }
 
 void Connection::write(std::string_view bytes) {
-  if (state_ != State::kOpen && state_ != State::kOpening) return;
+  if (state_ != State::kOpen && state_ != State::kOpening && state_ != State::kShaking) return;
   out_.append(bytes);
   if (state_ == State::kOpen && !writing_) flush();
 }
 
 void Connection::flush() {
   while (written_ < out_.size()) {
+    const char* const from = out_.data() + written_;
+    const std::size_t size = out_.size() - written_;
     const auto n =
-        ::send(socket_.impl()->sockfd(), out_.data() + written_, out_.size() - written_, MSG_NOSIGNAL);
+        veil_ ? veil_->send(from, size) : ::send(socket_.impl()->sockfd(), from, size, MSG_NOSIGNAL);
     if (n < 0 && errno == EINTR) continue;
     if (n < 0 && errno != EAGAIN) return end();
     if (n < 0) break;
@@ -93,6 +132,7 @@
 }
 
 void Connection::finish_writing() {
+  if (state_ == State::kOpen && veil_) veil_->finish();
   if (state_ == State::kOpen) ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
 }
 
@@ -103,11 +143,18 @@
 }
 
 void Connection::writable(const Told<WritableNotification>&) {
+  if (state_ == State::kShaking) return shake();
   if (state_ == State::kOpening) {
     int error = 0;
     socklen_t size = sizeof error;
     ::getsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) return end();
+    if (make_veil_) {
+      veil_ = make_veil_(socket_.impl()->sockfd());
+      state_ = State::kShaking;
+      watch(true, false);
+      return shake();
+    }
     state_ = State::kOpen;
     was_open_ = true;
     watch(true, writing_);
@@ -121,6 +168,7 @@
 
 void Connection::readable(const Told<ReadableNotification>&) {
   if (state_ == State::kOpening) return writable({});
+  if (state_ == State::kShaking) return shake();
   if (state_ != State::kOpen) return;
   if (discarding_) {  // MSG_TRUNC: not even copied
     const auto dropped = ::recv(socket_.impl()->sockfd(), nullptr, limits_.discard_at_once, MSG_TRUNC);
@@ -130,18 +178,20 @@
   if (taken_ > 0) in_.erase(0, taken_), taken_ = 0;
   const std::size_t had = in_.size();
   in_.resize(had + limits_.read_at_once);
-  const auto n = ::recv(socket_.impl()->sockfd(), in_.data() + had, limits_.read_at_once, 0);
+  const auto n = veil_ ? veil_->receive(in_.data() + had, limits_.read_at_once)
+                       : ::recv(socket_.impl()->sockfd(), in_.data() + had, limits_.read_at_once, 0);
   const int error = errno;
   in_.resize(had + static_cast<std::size_t>(std::max<std::ptrdiff_t>(n, 0)));
   if (n < 0 && (error == EAGAIN || error == EINTR)) return;
   if (n <= 0) return end();
   if (unread().size() >= limits_.unread) watch(false, writing_);  // until the owner has taken some
+  else read_held();
   owner_.bytes_came();
 }
 
 void Connection::failed(const Told<ErrorNotification>&) {
   if (state_ == State::kOpen && reading_) return;  // reading tells the rest, and what came before the break
-  if (state_ == State::kOpen || state_ == State::kOpening) end();
+  if (state_ == State::kOpen || state_ == State::kOpening || state_ == State::kShaking) end();
 }
 
 // The owner hears of it after the call at hand.
@@ -162,7 +212,7 @@
 }
 
 bool Connection::quiet() const {
-  if (state_ != State::kOpen || !unread().empty()) return false;
+  if (state_ != State::kOpen || !unread().empty() || (veil_ && veil_->holds())) return false;
   char byte = 0;
   return ::recv(socket_.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
 }
@@ -177,7 +227,7 @@
 // Errors are reported whether asked for or not: unheard, they would spin the reactor. POCO 1.11 goes on
 // polling for what an observer that has been removed wanted; adding one, even anew, sets the mode right.
 void Connection::watch(bool reading, bool writing) {
-  const bool alive = state_ == State::kOpen || state_ == State::kOpening;
+  const bool alive = state_ == State::kOpen || state_ == State::kOpening || state_ == State::kShaking;
   const bool fewer = (reading_ && !reading) || (writing_ && !writing);
   if (reading_ != reading) observe(reading_ = reading, &Connection::readable);
   if (writing_ != writing) observe(writing_ = writing, &Connection::writable);
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -8,6 +8,7 @@
 
 #include "base/limits.hpp"
 #include "transport/loop.hpp"
+#include "transport/veil.hpp"
 
 namespace ashbeam {
 
@@ -26,13 +27,20 @@
     virtual void ended() = 0;       // by the other side, or broken; unread() still stands
   };
 
-  Connection(Loop& loop, const Limits& limits, Owner& owner, const std::string& address);  // opens one
-  Connection(Loop& loop, const Limits& limits, Owner& owner, int accepted);                // takes one over
+  // Opens one; with a veil it is open once that is shaken.
+  using MakeVeil = std::function<std::unique_ptr<Veil>(int fd)>;
+  Connection(Loop& loop, const Limits& limits, Owner& owner, const std::string& address,
+             MakeVeil veil = nullptr);
+  // Takes one over; with a veil it is open once that is shaken.
+  Connection(Loop& loop, const Limits& limits, Owner& owner, int accepted,
+             std::unique_ptr<Veil> veil = nullptr);
   ~Connection() { close(); }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
   bool opening() const { return state_ == State::kOpening; }
+  bool shaking() const { return state_ == State::kShaking; }
+  Veil* veil() const { return veil_.get(); }
   // Was it never open, or is something left of what was to be written? Stands after the end, too.
   bool unwritten() const { return !was_open_ || written_ < out_.size(); }
   std::string_view unread() const { return std::string_view(in_).substr(taken_); }
@@ -45,7 +53,7 @@
   bool quiet() const;
 
  private:
-  enum class State { kOpening, kOpen, kEnded, kClosed };
+  enum class State { kOpening, kShaking, kOpen, kEnded, kClosed };
   template <class What>
   using Told = Poco::AutoPtr<What>;
   void readable(const Told<Poco::Net::ReadableNotification>&);
@@ -55,6 +63,8 @@
   template <class What>
   void observe(bool on, void (Connection::*told)(const Told<What>&));
   void flush();
+  void shake();
+  void read_held();
   void end();
 
   Loop& loop_;
@@ -65,6 +75,8 @@
   bool was_open_ = false, reading_ = false, writing_ = false, watched_ = false, discarding_ = false;
   std::string in_, out_;
   std::size_t taken_ = 0, written_ = 0;
+  MakeVeil make_veil_;                                     // until the socket is open
+  std::unique_ptr<Veil> veil_;                             // none where bytes are plain
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);  // outlived by what was put off
 };
 
--- a/src/transport/tls_terms.hpp
+++ b/src/transport/tls_terms.hpp
@@ -21,4 +21,9 @@
   bool operator==(const TlsTerms&) const = default;
 };
 
+// What stands in the files that the terms name.
+struct TlsFiles {
+  std::string certificate, key, trust, crl, revoked;
+};
+
 }  // namespace ashbeam
