--- a/src/calling/gate.cpp
+++ b/src/calling/gate.cpp
@@ -56,7 +56,8 @@
       granted_(terms.cached_tokens), refused_tokens_(1024), subjects_(terms.subjects, now),
       unproven_(terms.verifications_per_s, std::max(1.0, terms.verifications_per_s / 10)),
       proven_(terms.verifications_per_s, std::max(1.0, terms.verifications_per_s / 10)),
-      decoys_{tokens::Key::fresh(tokens::Algorithm::kEdDsa), tokens::Key::fresh(tokens::Algorithm::kEs256)} {
+      named_(4096, 2, 4), decoys_{tokens::Key::fresh(tokens::Algorithm::kEdDsa),
+                                  tokens::Key::fresh(tokens::Algorithm::kEs256)} {
   place_tenants(now);
 }
 
@@ -144,8 +145,7 @@
     const Refusal known = refused_tokens_.find(digest, ring_.epoch(), now);
     if (known != Refusal::kNone) return known;
     // Guards against a flood of tokens that cost us more than their sender.
-    Budget& budget = presence.proven ? proven_ : unproven_;
-    if (!budget.take(now)) return retry_after = budget.wait(now), Refusal::kBusy;
+    if (!may_verify(text, presence, now, retry_after)) return Refusal::kBusy;
     Grant fresh;
     fresh.digest = digest;
     const Refusal why = verify(text, fresh, now);
@@ -170,6 +170,23 @@
   return Refusal::kNone;
 }
 
+bool Gate::may_verify(std::string_view text, const Presence& presence, Instant now, Span& retry_after) {
+  if (!presence.proven && unproven_.take(now)) return true;
+  bool heard = presence.proven;
+  if (!heard) {
+    const auto jws = tokens::split(text);
+    const auto claims = jws ? tokens::read_claims(jws->payload, terms_.tenant_claim) : std::nullopt;
+    if (claims) {
+      const std::string caller = caller_text(claims->tenant, claims->subject);
+      const std::uint64_t hash = XXH3_64bits_withSeed(caller.data(), caller.size(), seed_);
+      heard = subjects_.find(hash) != Subjects::kNone && named_.take(hash, now);
+    }
+  }
+  if (heard && proven_.take(now)) return true;
+  retry_after = std::max(Span::ms(1), (heard ? proven_ : unproven_).wait(now));
+  return false;
+}
+
 // Whatever is wrong, one signature is computed; the first fault in the order below is told.
 Refusal Gate::verify(std::string_view text, Grant& grant, Instant now) {
   ++verifications_;
--- a/src/calling/gate.hpp
+++ b/src/calling/gate.hpp
@@ -6,8 +6,10 @@
 //
 // A token is verified once and then known by its hash; its key's state, its times and its tenant's rights are
 // looked at again at each hit. A refused one costs one verification the first time, whatever is wrong with
-// it: what takes as long tells nothing. Verifications are limited by the second, apart for connections that
-// have proven somebody before, so that a flood from others does not stop these.
+// it: what takes as long tells nothing. Verifications are limited by the second, apart
+// for those who have reason to be heard: connections that have proven somebody before, and tokens that name a
+// subject that was let in lately, two a second for each name. A flood that knows no such names does not stop
+// these; one that knows many can keep their new tokens on new connections waiting, nothing else.
 #pragma once
 #include <cstdint>
 #include <map>
@@ -100,7 +102,9 @@
   std::map<std::string, std::uint32_t, std::less<>> ids_;  // tenants' places, by name
   std::vector<Standing> tenants_;
   std::vector<std::uint32_t> place_of_;  // by the directory's index
+  bool may_verify(std::string_view text, const Presence& presence, Instant now, Span& retry_after);
   Budget unproven_, proven_;
+  NamedBudgets named_;
   tokens::Key decoys_[2];
   std::uint64_t verifications_ = 0;
   std::uint64_t refused_[static_cast<std::size_t>(Refusal::kCount)] = {};
--- a/src/calling/quota.cpp
+++ b/src/calling/quota.cpp
@@ -55,6 +55,15 @@
 Subjects::Subjects(std::size_t subjects, Instant)
     : sets_(std::max<std::size_t>(1, subjects * 5 / 4 / kWays)), floors_(sets_.size()) {}
 
+std::uint32_t Subjects::find(std::uint64_t hash) const {
+  const std::size_t at = set_of(hash);
+  const auto tag = static_cast<std::uint32_t>(hash) | 1U;
+  for (std::uint32_t w = 0; w < kWays; ++w) {
+    if (sets_[at].tags[w] == tag) return static_cast<std::uint32_t>(at) * kWays + w;
+  }
+  return kNone;
+}
+
 std::uint32_t Subjects::find_or_make(std::uint64_t hash, Instant now) {
   const std::size_t at = set_of(hash);
   Set& set = sets_[at];
--- a/src/calling/quota.hpp
+++ b/src/calling/quota.hpp
@@ -52,6 +52,7 @@
   static constexpr std::uint32_t kNone = UINT32_MAX;
   Subjects(std::size_t subjects, Instant now);
 
+  std::uint32_t find(std::uint64_t hash) const;                 // kNone: it is not there
   std::uint32_t find_or_make(std::uint64_t hash, Instant now);  // kNone: no room
   Bucket& bucket(std::uint32_t place) { return sets_[place / kWays].buckets[place % kWays]; }
   std::uint32_t& in_hand(std::uint32_t place) { return sets_[place / kWays].in_hand[place % kWays]; }
@@ -99,4 +100,21 @@
   double step_, burst_, due_ = 0;
 };
 
+// A few things a second for each of many names, in a fixed table: names that fall on one place share it.
+class NamedBudgets {
+ public:
+  NamedBudgets(std::size_t names, double per_s, double burst)
+      : step_(Span::us(static_cast<std::int64_t>(1e6 / per_s))), burst_(step_ * (burst - 1)), due_(names) {}
+  bool take(std::uint64_t hash, Instant now) {
+    Instant& due = due_[hash % due_.size()];
+    if (due > now + burst_) return false;
+    due = (due > now ? due : now) + step_;
+    return true;
+  }
+
+ private:
+  Span step_, burst_;
+  std::vector<Instant> due_;
+};
+
 }  // namespace ashbeam::calling
--- a/src/standins/pki.cpp
+++ b/src/standins/pki.cpp
@@ -134,6 +134,9 @@
     SSL_set_app_data(ssl_.get(), &tls_);
     if (tls_.resume_ && tls_.session_) SSL_set_session(ssl_.get(), tls_.session_.get());
   }
+  // A connection that is cut off would take its session with it; a client on the move is cut off all the
+  // time.
+  ~ClientVeil() override { SSL_set_shutdown(ssl_.get(), SSL_SENT_SHUTDOWN | SSL_RECEIVED_SHUTDOWN); }
   Step shake() override {
     ERR_clear_error();
     const int done = SSL_do_handshake(ssl_.get());
