--- a/src/records/text.cpp
+++ b/src/records/text.cpp
@@ -15,6 +15,22 @@
 };
 
 bool word_start(char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '_' || c == '#'; }
+// RFC 3629, but for surrogates and overlong forms of four bytes, which nobody here compares.
+bool utf8(std::string_view text) {
+  for (std::size_t i = 0; i < text.size();) {
+    const auto c = static_cast<unsigned char>(text[i++]);
+    const int more = c < 0x80                ? 0
+                     : c >= 0xc2 && c < 0xe0 ? 1
+                     : c >= 0xe0 && c < 0xf0 ? 2
+                     : c >= 0xf0 && c < 0xf5 ? 3
+                                             : -1;
+    if (more < 0) return false;
+    for (int k = 0; k < more; ++k, ++i) {
+      if (i >= text.size() || (static_cast<unsigned char>(text[i]) & 0xC0U) != 0x80U) return false;
+    }
+  }
+  return true;
+}
 bool digit(char c) { return c >= '0' && c <= '9'; }
 
 class Reader {
@@ -93,8 +109,10 @@
         next();
       }
       token_.text += c;
+      if (token_.text.size() > kLongestString) return bad("a string of at most 4096 bytes");
     }
     next();
+    if (!utf8(token_.text)) bad("a string in UTF-8");
   }
 
   void bad(const std::string& wanted) {
--- a/src/records/text.hpp
+++ b/src/records/text.hpp
@@ -20,6 +20,7 @@
 
 // Bounds that a hostile file meets: each ends in a Problem.
 constexpr std::size_t kLongestFile = 1024 * 1024;  // bytes
+constexpr std::size_t kLongestString = 4096;       // bytes
 constexpr unsigned kDeepest = 32;
 constexpr std::size_t kMostNodes = 100'000;  // read, and again made by resolving names
 constexpr std::size_t kMostProblems = 50;
--- a/src/records/value.cpp
+++ b/src/records/value.cpp
@@ -80,6 +80,7 @@
           const std::string inside = path.empty() ? f.name : path + "." + f.name;
           if (f.optional) wrong(f.at, inside, "a value", "an optional field");
           v.fields.emplace_back(f.name, resolve(*f.value, inside));
+          v.fields.back().second.named = f.at;
         }
         break;
       case Node::Kind::kList:
@@ -260,7 +261,7 @@
       if (field_of(wanted, name)) continue;
       std::string names;
       for (const Field& f : wanted.fields) names.append(names.empty() ? "" : ", ").append(f.name);
-      wrong(given.at, inside(name), "one of " + names, "the field " + name);
+      wrong(given.named, inside(name), "one of " + names, "the field " + name);
     }
     std::vector<std::pair<std::string, Value>> all;
     for (const Field& f : wanted.fields) {
--- a/src/records/value.hpp
+++ b/src/records/value.hpp
@@ -14,7 +14,7 @@
  public:
   enum class Kind { kNone, kString, kNumber, kBool, kRecord, kList };
   Kind kind = Kind::kNone;
-  Place at;
+  Place at, named;  // the value's, and its field's name's
   std::string text;
   double number = 0;
   bool whole = false, truth = false;
