--- a/src/standins/client.hpp
+++ b/src/standins/client.hpp
@@ -25,6 +25,7 @@
         answers_(http::Side::kAnswers, limits.head, limits.body) {}
   // Only once the one before has its answer. `next` is never called before this returns.
   void ask(const std::string& request, Next next);
+  void finish_raw(const std::string& bytes) { connection_->write(bytes); }  // the rest of a request begun
   bool busy() const { return next_ != nullptr; }
   void hang_up();                                 // the next request opens a new connection
   std::uint64_t stray() const { return stray_; }  // bytes that answer nothing
--- a/src/standins/pki.hpp
+++ b/src/standins/pki.hpp
@@ -30,6 +30,7 @@
   Identity issue(const std::string& organisation, const std::string& name, Span life, bool server = false,
                  const Authority* through = nullptr) const;
   Authority intermediate(const std::string& name) const;
+  const Identity& self() const { return self_; }
   std::string pem() const { return self_.certificate_pem; }
   std::string revocation_list(const std::string& serial) const;  // PEM, with that serial
 
--- a/src/store/worker.hpp
+++ b/src/store/worker.hpp
@@ -13,7 +13,10 @@
 class Worker {
  public:
   static constexpr std::size_t kMostWaiting = 64;
-  explicit Worker(Loop& loop) : loop_(loop), thread_([this] { work(); }) {}
+  explicit Worker(Loop& loop) : loop_(loop) {
+    loop.expect_hand_overs();
+    thread_ = std::thread([this] { work(); });
+  }
   // Ends the job at hand; what waits is dropped.
   ~Worker() {
     {
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -1,6 +1,12 @@
 #include "transport/loop.hpp"
 
 #include <Poco/ErrorHandler.h>
+#include <Poco/Exception.h>
+#include <Poco/NObserver.h>
+#include <Poco/Net/SocketNotification.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <chrono>
@@ -27,6 +33,36 @@
 
 }  // namespace
 
+// POCO 1.11's wakeUp() does not end its poll: a byte on a socket of our own does.
+struct Loop::Bell {
+  class End : public Poco::Net::StreamSocket {
+   public:
+    explicit End(int fd) : StreamSocket(new Poco::Net::StreamSocketImpl(fd)) {}
+  };
+  explicit Bell(const int (&pair)[2]) : in(pair[0]), out(pair[1]) {}
+  void rung(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
+    char some[64];
+    while (::recv(in.impl()->sockfd(), some, sizeof some, MSG_DONTWAIT) == sizeof some) {
+    }
+  }
+  void ring() {
+    ::send(out.impl()->sockfd(), "!", 1, MSG_DONTWAIT | MSG_NOSIGNAL);
+  }  // full: it rings already
+  End in, out;
+};
+
+Loop::~Loop() = default;
+
+void Loop::expect_hand_overs() {
+  if (bell_) return;
+  int pair[2];
+  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair) != 0)
+    throw Poco::IOException("no socket pair can be had");
+  bell_ = std::make_unique<Bell>(pair);
+  reactor().addEventHandler(bell_->in,
+                            Poco::NObserver<Bell, Poco::Net::ReadableNotification>(*bell_, &Bell::rung));
+}
+
 Loop::Loop()
     : unix_minus_steady_us_(reading_us<std::chrono::system_clock>() -
                             reading_us<std::chrono::steady_clock>()) {
@@ -48,7 +84,7 @@
     handed_.push_back(std::move(what));
     any_handed_ = true;
   }
-  wakeUp();
+  if (bell_) bell_->ring();
 }
 
 // POCO waits in whole milliseconds and cuts fractions off: rounded up here, or the last one would be spun
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -16,6 +16,7 @@
 class Loop : private Poco::Net::SocketReactor {
  public:
   Loop();
+  ~Loop();
 
   // The machine's clock in Unix time, read once at start and carried on by the steady clock: never goes back.
   Instant now() const;
@@ -23,7 +24,9 @@
   void stop() { Poco::Net::SocketReactor::stop(); }
   // Runs `what` after the callback at hand, before the next wait.
   void later(std::function<void()> what);
-  // The same from any other thread: the one way in which a worker answers.
+  // The same from any other thread: the one way in which a worker answers. Only once the loop was told to
+  // expect it, on its own thread or before it runs.
+  void expect_hand_overs();
   void hand_over(std::function<void()> what);
   // Destroys `what` then: a callback may so end its own object.
   template <class T>
@@ -48,6 +51,8 @@
   std::vector<std::function<void()>> put_off_, running_;
   std::mutex handing_;
   std::vector<std::function<void()>> handed_;  // under the mutex
+  struct Bell;
+  std::unique_ptr<Bell> bell_;
   std::atomic<bool> any_handed_ = false;
 };
 
