--- a/src/calling/gate.cpp
+++ b/src/calling/gate.cpp
@@ -128,7 +128,8 @@
 }
 
 Refusal Gate::certificate(const Certificate& c, Instant now, Identity& into) const {
-  if (now < c.not_before - terms_.leeway || now > c.not_after) return Refusal::kCertificate;
+  const Instant wall = now + wall_ahead_;
+  if (wall < c.not_before - terms_.leeway || wall > c.not_after) return Refusal::kCertificate;
   into.tenant = directory_->by_organisation(c.organisation);
   if (into.tenant == Directory::kNone) return Refusal::kTenant;
   into.rule = (*directory_)[into.tenant].rule_of(c.name);
@@ -225,15 +226,17 @@
   grant.caller = caller_text(grant.tenant, grant.subject);
   grant.hash = XXH3_64bits_withSeed(grant.caller.data(), grant.caller.size(), seed_);
   // Times and rights change and are looked at again at each hit; a token that will never count is not kept.
-  if (now > grant.expires + terms_.leeway) return Refusal::kExpired;
-  return ring_.accepts(grant.key, grant.issued, now);
+  const Instant wall = now + wall_ahead_;
+  if (wall > grant.expires + terms_.leeway) return Refusal::kExpired;
+  return ring_.accepts(grant.key, grant.issued, wall);
 }
 
 Refusal Gate::times(const Grant& g, const Certificate* certificate, Instant now) const {
-  const Refusal key = ring_.accepts(g.key, g.issued, now);
+  const Instant wall = now + wall_ahead_;
+  const Refusal key = ring_.accepts(g.key, g.issued, wall);
   if (key != Refusal::kNone) return key;
-  if (now > g.expires + terms_.leeway) return Refusal::kExpired;
-  if (now < g.not_before - terms_.leeway || now < g.issued - terms_.leeway) return Refusal::kEarly;
+  if (wall > g.expires + terms_.leeway) return Refusal::kExpired;
+  if (wall < g.not_before - terms_.leeway || wall < g.issued - terms_.leeway) return Refusal::kEarly;
   if (g.bound && (!certificate || certificate->print != g.certificate)) return Refusal::kBinding;
   return Refusal::kNone;
 }
--- a/src/calling/gate.hpp
+++ b/src/calling/gate.hpp
@@ -66,7 +66,13 @@
   Refusal let_in(const Identity& who, unsigned path_group, Instant now, Ticket& ticket, Span& retry_after);
   void ended(const Ticket& ticket);
 
-  KeyRing::Change keys(std::span<const tokens::Listed> set, Instant now) { return ring_.told(set, now); }
+  KeyRing::Change keys(std::span<const tokens::Listed> set, Instant now) {
+    return ring_.told(set, now + wall_ahead_);
+  }
+  // Times of tokens, keys and certificates are of the machine's clock, which may be set while we run; rates
+  // and waits are of the time handed in, which never goes back.
+  void wall_ahead(Span ahead) { wall_ahead_ = ahead; }
+  Span wall_ahead() const { return wall_ahead_; }
   void terms(const CallingTerms& terms, Instant now);  // what is in hand and was used up stands
   const KeyRing& ring() const { return ring_; }
   std::size_t cached() const { return granted_.size(); }
@@ -92,6 +98,7 @@
   void identity(const Grant& grant, Identity& into) const;
   void place_tenants(Instant now);
 
+  Span wall_ahead_;
   CallingTerms terms_;
   std::unique_ptr<Directory> directory_;
   std::uint64_t epoch_ = 1, seed_;  // of the directory
--- a/src/program/guardian.cpp
+++ b/src/program/guardian.cpp
@@ -1,14 +1,16 @@
 #include "program/guardian.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace ashbeam {
 
 Guardian::Guardian(Loop& loop, Service& service, const DoorTerms& door, const Terms& terms, std::string path,
                    std::uint64_t seed, Service::Note note)
-    : loop_(loop), service_(service), door_(door), terms_(terms), path_(std::move(path)),
-      note_(std::move(note)), look_(loop, [this] { look(); }) {
-  Fresh fresh = read("");
+    : loop_(loop), service_(service),
+      reading_by_(std::make_shared<Reading>(Reading{std::move(path), door, terms})), note_(std::move(note)),
+      look_(loop, [this] { look(); }) {
+  Fresh fresh = reading_by_->read("");
   if (!fresh.problem.empty()) throw OperatorsError(fresh.problem);
   standing_ = fresh.operators;
   if (!standing_.calling && !standing_.tls) return;
@@ -18,16 +20,15 @@
   service_.guard(std::make_unique<calling::Gate>(standing_.calling->terms, seed, loop_.now()),
                  standing_.calling->token_goes_on);
   take_keys(fresh.keys);
-  if (!standing_.calling->keys.empty()) look_.in(standing_.calling->reread);
+  look_.in(Span());
 }
 
-// On the worker's thread: touches only what never changes, and its argument.
-Guardian::Fresh Guardian::read(const std::string& keys_only) const {
+Guardian::Fresh Guardian::Reading::read(const std::string& keys_only) const {
   Fresh fresh;
   try {
     std::string folder = keys_only;
     if (folder.empty()) {
-      fresh.operators = read_operators(path_, &door_, &terms_);
+      fresh.operators = read_operators(path, &door, &terms);
       if (fresh.operators.calling) folder = fresh.operators.calling->keys;
     }
     if (!folder.empty()) fresh.keys = read_key_folder(folder);
@@ -39,12 +40,18 @@
   return fresh;
 }
 
+void Guardian::begin_reading() {
+  reading_ = true;
+  reading_since_ = loop_.now();
+  stuck_told_ = false;
+}
+
 void Guardian::reread() {
   if (!worker_) return note_("operator's file: counts from the next start, nothing of it was on at this one");
   if (reading_) return void(again_ = true);
-  reading_ = true;
-  worker_->run([this]() -> std::function<void()> {
-    return [this, fresh = read("")] {
+  begin_reading();
+  worker_->run([this, by = reading_by_]() -> std::function<void()> {
+    return [this, fresh = by->read("")] {
       reading_ = false;
       take(fresh, true);
       if (std::exchange(again_, false)) reread();
@@ -52,25 +59,34 @@
   });
 }
 
+// A folder on a file system that hangs must not go unnoticed: what is revoked there is not known here.
 void Guardian::look() {
-  look_.in(standing_.calling->reread);
-  if (reading_) return;
-  reading_ = true;
-  worker_->run([this, folder = standing_.calling->keys, stamp = stamp_]() -> std::function<void()> {
-    Fresh fresh;
-    bool changed = true;
-    try {
-      changed = key_folder_stamp(folder) != stamp;
-      if (changed) fresh = read(folder);
-    } catch (const std::exception& e) {
-      fresh.problem = e.what();
-    }
-    return [this, changed, fresh] {
-      reading_ = false;
-      if (changed) take(fresh, false);
-      if (std::exchange(again_, false)) reread();
-    };
-  });
+  look_.in(std::min(standing_.calling->reread, Span::s(1)));
+  const Span ahead = loop_.wall_ahead(), before = service_.gate()->wall_ahead();
+  if (ahead > before + Span::s(1) || ahead < before - Span::s(1))
+    note_("calling: the machine's clock was set by " + std::to_string((ahead - before).us() / 1000) + " ms");
+  service_.gate()->wall_ahead(ahead);
+  const Instant now = loop_.now();
+  if (reading_ && now - reading_since_ > Span::s(5) && !std::exchange(stuck_told_, true))
+    note_("calling: reading keys and files has taken 5 s and goes on; the old ring and rights stand");
+  if (reading_ || standing_.calling->keys.empty() || now - reading_since_ < standing_.calling->reread) return;
+  begin_reading();
+  worker_->run(
+      [this, by = reading_by_, folder = standing_.calling->keys, stamp = stamp_]() -> std::function<void()> {
+        Fresh fresh;
+        bool changed = true;
+        try {
+          changed = key_folder_stamp(folder) != stamp;
+          if (changed) fresh = by->read(folder);
+        } catch (const std::exception& e) {
+          fresh.problem = e.what();
+        }
+        return [this, changed, fresh] {
+          reading_ = false;
+          if (changed) take(fresh, false);
+          if (std::exchange(again_, false)) reread();
+        };
+      });
 }
 
 void Guardian::take(const Fresh& fresh, bool all) {
@@ -94,8 +110,6 @@
     service_.gate()->terms(standing_.calling->terms, loop_.now());
     note_("operator's file read again: " + std::to_string(standing_.calling->terms.tenants.size()) +
           " tenants");
-    look_.off();
-    if (!standing_.calling->keys.empty()) look_.in(standing_.calling->reread);
   }
   take_keys(fresh.keys);
 }
--- a/src/program/guardian.hpp
+++ b/src/program/guardian.hpp
@@ -27,20 +27,25 @@
     KeyFolder keys;
     std::shared_ptr<TlsMaterial> tls;
   };
-  Fresh read(const std::string& keys_only) const;
+  // What a job on the worker reads by: it owns all of it, and may outlive us.
+  struct Reading {
+    std::string path;
+    DoorTerms door;
+    Terms terms;
+    Fresh read(const std::string& keys_only) const;
+  };
   void take(const Fresh& fresh, bool all);
   void take_keys(const KeyFolder& folder);
-  void look();  // at the key folder
+  void look();  // at the key folder, and at the clock
+  void begin_reading();
   Loop& loop_;
   Service& service_;
-  const DoorTerms& door_;
-  const Terms& terms_;
-  std::string path_;
+  std::shared_ptr<const Reading> reading_by_;
   Service::Note note_;
   Operators standing_;
   std::string stamp_, complaint_;  // of the key folder, as last read; the last one told
-  bool reading_ = false, again_ = false;
-  std::uint64_t looked_ = 0;
+  bool reading_ = false, again_ = false, stuck_told_ = false;
+  Instant reading_since_;
   Timer look_;
   std::unique_ptr<Worker> worker_;  // last: ends before what its jobs read
 };
--- a/src/store/worker.hpp
+++ b/src/store/worker.hpp
@@ -1,8 +1,10 @@
 // What blocks (files, key loading) runs on one thread of its own, job by job, and answers on the loop.
 #pragma once
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <thread>
 
@@ -13,52 +15,66 @@
 class Worker {
  public:
   static constexpr std::size_t kMostWaiting = 64;
-  explicit Worker(Loop& loop) : loop_(loop) {
+  // A job may run on after its worker is gone: it owns all that it reads.
+  using Answer = std::function<void()>;
+  using Job = std::function<Answer()>;
+
+  explicit Worker(Loop& loop) : shared_(std::make_shared<Shared>(loop)) {
     loop.expect_hand_overs();
-    thread_ = std::thread([this] { work(); });
+    thread_ = std::thread([shared = shared_] { work(*shared); });
   }
-  // Ends the job at hand; what waits is dropped.
+  // What waits is dropped. Guards against a file system that hangs: a job that does not end soon is left
+  // behind, and its answer goes nowhere.
   ~Worker() {
-    {
-      const std::lock_guard lock(mutex_);
-      stopping_ = true;
-    }
-    wake_.notify_one();
-    thread_.join();
+    std::unique_lock lock(shared_->mutex);
+    shared_->stopping = true;
+    shared_->wake.notify_all();
+    const bool ended =
+        shared_->wake.wait_for(lock, std::chrono::seconds(1), [this] { return shared_->ended; });
+    lock.unlock();
+    if (ended) thread_.join();
+    else thread_.detach();
   }
   Worker(const Worker&) = delete;
   Worker& operator=(const Worker&) = delete;
 
   // Runs `job` there, then what it returns on the loop. False where too much waits already. A job must not
-  // throw, nor touch what the loop's thread may touch meanwhile.
-  bool run(std::function<std::function<void()>()> job) {
+  // throw.
+  bool run(Job job) {
     {
-      const std::lock_guard lock(mutex_);
-      if (waiting_.size() >= kMostWaiting) return false;
-      waiting_.push_back(std::move(job));
+      const std::lock_guard lock(shared_->mutex);
+      if (shared_->waiting.size() >= kMostWaiting) return false;
+      shared_->waiting.push_back(std::move(job));
     }
-    wake_.notify_one();
+    shared_->wake.notify_all();
     return true;
   }
 
  private:
-  void work() {
-    std::unique_lock lock(mutex_);
+  struct Shared {
+    explicit Shared(Loop& l) : loop(l) {}
+    Loop& loop;  // used under the mutex, and not once stopping
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::deque<Job> waiting;
+    bool stopping = false, ended = false;
+  };
+  static void work(Shared& s) {
+    std::unique_lock lock(s.mutex);
     for (;;) {
-      wake_.wait(lock, [this] { return stopping_ || !waiting_.empty(); });
-      if (stopping_) return;
-      const auto job = std::move(waiting_.front());
-      waiting_.pop_front();
+      s.wake.wait(lock, [&] { return s.stopping || !s.waiting.empty(); });
+      if (s.stopping) break;
+      const Job job = std::move(s.waiting.front());
+      s.waiting.pop_front();
       lock.unlock();
-      loop_.hand_over(job());
+      Answer answer = job();
       lock.lock();
+      if (!s.stopping) s.loop.hand_over(std::move(answer));
     }
+    s.ended = true;
+    s.wake.notify_all();
   }
-  Loop& loop_;
-  std::mutex mutex_;
-  std::condition_variable wake_;
-  std::deque<std::function<std::function<void()>()>> waiting_;
-  bool stopping_ = false;
+  std::shared_ptr<Shared> shared_;
   std::thread thread_;
 };
 
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -73,6 +73,11 @@
   return Instant::at_us(reading_us<std::chrono::steady_clock>() + unix_minus_steady_us_);
 }
 
+Span Loop::wall_ahead() const {
+  return Span::us(reading_us<std::chrono::system_clock>() - reading_us<std::chrono::steady_clock>() -
+                  unix_minus_steady_us_);
+}
+
 void Loop::later(std::function<void()> what) {
   put_off_.push_back(std::move(what));
   if (put_off_.size() == 1) set_wait();
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -20,6 +20,8 @@
 
   // The machine's clock in Unix time, read once at start and carried on by the steady clock: never goes back.
   Instant now() const;
+  // How far the machine's clock is ahead of that by now: it was set since, or stood still with the machine.
+  Span wall_ahead() const;
   void run() { Poco::Net::SocketReactor::run(); }
   void stop() { Poco::Net::SocketReactor::stop(); }
   // Runs `what` after the callback at hand, before the next wait.
--- a/src/transport/tls.cpp
+++ b/src/transport/tls.cpp
@@ -299,6 +299,8 @@
       : door_(door), material_(std::move(material)), ssl_(SSL_new(material_->parts_->ctx.get())), id_(id) {
     SSL_set_fd(ssl_.get(), fd);
     SSL_set_accept_state(ssl_.get());
+    SSL_set_msg_callback(ssl_.get(), message);
+    SSL_set_msg_callback_arg(ssl_.get(), this);
   }
   ~TlsVeil() override { over(); }
 
@@ -360,7 +362,7 @@
                                                                : SSL_get_peer_cert_chain(ssl_.get()));
       epoch_ = door_.epoch_;
     }
-    return {&certificate_, !good_ || now > certificate_.not_after};
+    return {&certificate_, !good_ || now + door_.loop_.wall_ahead() > certificate_.not_after};
   }
 
   void turn() {
@@ -372,6 +374,13 @@
   }
 
  private:
+  // Guards against clients that begin a handshake again and again on one connection: OpenSSL only warns them.
+  static void message(int sent, int, int content, const void* bytes, std::size_t size, SSL*, void* self) {
+    constexpr unsigned char kNoRenegotiation = 100;  // RFC 5246, section 7.2
+    if (sent == 1 && content == SSL3_RT_ALERT && size == 2 &&
+        static_cast<const unsigned char*>(bytes)[1] == kNoRenegotiation)
+      static_cast<TlsVeil*>(self)->renegotiates_ = true;
+  }
   Step failed(const std::string& why) {
     ++door_.counts_.failed;
     door_.complain(why == "http request" ? "plain HTTP on the TLS port" : why);
@@ -385,6 +394,12 @@
   std::ptrdiff_t unfinished(int result) {
     const int why = SSL_get_error(ssl_.get(), result);
     if (why == SSL_ERROR_ZERO_RETURN) return 0;
+    if (renegotiates_) {
+      door_.complain("renegotiation");
+      broken_ = true;
+      errno = ECONNRESET;
+      return -1;
+    }
     if (why == SSL_ERROR_WANT_READ || why == SSL_ERROR_WANT_WRITE) {
       errno = EAGAIN;
       return -1;
@@ -411,7 +426,7 @@
   Owned<SSL> ssl_;
   Owned<X509> leaf_;
   calling::Handshakes::Id id_;
-  bool shaken_ = false, dropped_ = false, broken_ = false, good_ = true;
+  bool shaken_ = false, dropped_ = false, broken_ = false, good_ = true, renegotiates_ = false;
   std::uint64_t epoch_ = 0;  // of the trust that `good_` was said under
   calling::Certificate certificate_;
   std::function<void()> turn_;
--- a/src/transport/veil.hpp
+++ b/src/transport/veil.hpp
@@ -29,7 +29,7 @@
   };
   // Who the other side has proven to be, as things stand now: what was revoked since, or has expired, is
   // refused.
-  virtual Proof proof(Instant now) = 0;
+  virtual Proof proof(Instant now) = 0;  // of the loop
 };
 
 }  // namespace ashbeam
--- a/tests/calling_test.cpp
+++ b/tests/calling_test.cpp
@@ -301,6 +301,18 @@
   }
 }
 
+TEST(Gate, AClockThatIsSetWhileItRuns) {
+  Asking a;
+  const std::string token = a.token();
+  EXPECT_EQ(a.ask(token), Refusal::kNone);
+  a.gate.wall_ahead(Span::s(300));  // the machine stood still for so long
+  EXPECT_EQ(a.ask(token), Refusal::kExpired);
+  const std::string fresh = a.signer.token("shop", "r", a.now + Span::s(300), Span::s(60));
+  EXPECT_EQ(a.ask(fresh), Refusal::kNone);
+  a.gate.wall_ahead(Span());
+  EXPECT_EQ(a.ask(fresh), Refusal::kEarly);
+}
+
 TEST(Gate, TwoKeysWithOneNameBothVerify) {
   Asking a;
   const Signer twin("k1", tokens::Algorithm::kEs256);
--- /dev/null
+++ b/tests/guardian_test.cpp
@@ -0,0 +1,232 @@
+// The operator's files while the router runs: what changes, what is spoilt, and the commands that write them.
+#include "program/guardian.hpp"
+
+#include <sys/stat.h>
+
+#include <csignal>
+#include <filesystem>
+#include <future>
+
+#include "calling_helpers.hpp"
+#include "program/commands.hpp"
+#include "program/log_sink.hpp"
+#include "router_world.hpp"
+#include "store/files.hpp"
+
+namespace ashbeam {
+namespace {
+
+struct Folder {
+  std::string path;
+  Folder() {
+    char name[] = "/tmp/ashbeam-test-XXXXXX";
+    path = ::mkdtemp(name);
+    ::mkdir((path + "/keys").c_str(), 0755);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string at(const std::string& name) const { return path + "/" + name; }
+};
+
+class GuardianTest : public RouterTest {
+ protected:
+  Folder folder_;
+  std::unique_ptr<Guardian> guardian_;
+  Signer signer_{"k1", tokens::Algorithm::kEdDsa};
+  std::atomic<unsigned> noted_ = 0;
+  std::vector<std::string> told_;
+
+  void file(const std::string& limits, const std::string& reread = "100ms") {
+    write_file(folder_.at("o.cue"),
+               "calling: {prove: \"required\", tokens: {keys: \"keys\", reread: \"" + reread +
+                   "\", audience: \"ashbeam\"}, tenants: [{name: \"shop\"" + limits + "}]}",
+               0644);
+  }
+  void keys(const std::vector<tokens::Listed>& set) const {
+    write_file(folder_.at("keys/ring.json"), tokens::key_set_text(set), 0644);
+  }
+  void open() {
+    before_start_ = [this] {
+      guardian_ =
+          std::make_unique<Guardian>(loop_, *service_, door_, terms_, folder_.at("o.cue"), 7,
+                                     [this](std::string_view line) { told_.emplace_back(line), ++noted_; });
+    };
+    begin(all_hosts());
+  }
+  void TearDown() override {
+    RouterTest::TearDown();
+    guardian_.reset();
+  }
+  unsigned ask(const Signer& signer) {
+    Stream c = client();
+    c.say(get(1500, "Authorization: Bearer " + signer.token("shop", "r", loop_.now(), Span::s(60)) + "\r\n"));
+    Stream h = forward(100);
+    if (h.fd >= 0 && !h.message().empty()) h.say(kOk);
+    return status_of(c.message());
+  }
+  void settle() const { usleep(350000); }  // a few looks at the folder
+  bool told(const std::string& part) const {
+    return std::any_of(told_.begin(), told_.end(),
+                       [&](const auto& l) { return l.find(part) != std::string::npos; });
+  }
+};
+
+TEST_F(GuardianTest, KeysThatChangeInTheFolderCountSoon) {
+  file("");
+  keys({signer_.listed()});
+  open();
+  const Signer next("k2", tokens::Algorithm::kEs256);
+  EXPECT_EQ(ask(signer_), 200U);
+  EXPECT_EQ(ask(next), 401U);
+  keys({next.listed()});
+  settle();
+  EXPECT_EQ(ask(next), 200U);
+  EXPECT_EQ(ask(signer_), 200U);  // in its overlap
+  auto gone = signer_.listed();
+  gone.revoked = true;
+  keys({next.listed(), gone});
+  run_on_loop([&] { guardian_->reread(); });
+  usleep(100000);
+  EXPECT_EQ(ask(signer_), 401U);
+}
+
+TEST_F(GuardianTest, WhatIsSpoiltChangesNothingAndIsNamedOnce) {
+  file("");
+  keys({signer_.listed()});
+  open();
+  const std::string good = tokens::key_set_text({signer_.listed()});
+  struct Row {
+    std::string what, text;
+    unsigned mode;
+  } const rows[] = {
+      {"wanted a JSON object", good.substr(0, good.size() / 2), 0644},
+      {"a private key that others may read", "{\"keys\":[{\"kid\":\"p\"," + signer_.key.members(true) + "}]}",
+       0644},
+      {"'x' is no base64url", R"({"keys":[{"kty":"OKP","crv":"Ed25519","kid":"a","x":"*"}]})", 0644},
+  };
+  for (const Row& row : rows) {
+    write_file(folder_.at("keys/other.json"), row.text, row.mode);
+    settle();
+    EXPECT_EQ(ask(signer_), 200U) << row.what;
+  }
+  ::unlink(folder_.at("keys/other.json").c_str());
+  ::symlink("/nowhere", folder_.at("keys/other.json").c_str());
+  settle();
+  EXPECT_EQ(ask(signer_), 200U);
+  ::unlink(folder_.at("keys/other.json").c_str());
+  std::filesystem::rename(folder_.at("keys"), folder_.at("away"));
+  settle();
+  EXPECT_EQ(ask(signer_), 200U);
+  std::filesystem::rename(folder_.at("away"), folder_.at("keys"));
+  settle();
+  EXPECT_EQ(ask(signer_), 200U);
+  TearDown();
+  for (const Row& row : rows) EXPECT_TRUE(told("keys/other.json: ") && told(row.what)) << row.what;
+  EXPECT_LE(told_.size(), 8U);  // each once, however often it was looked at
+  for (const std::string& line : told_)
+    EXPECT_EQ(line.find(signer_.key.members(true).substr(60)), std::string::npos);
+}
+
+TEST_F(GuardianTest, RightsAreReadAgainWholeOrNotAtAll) {
+  file(", path_groups: [\"look\"]", "1h");
+  keys({signer_.listed()});
+  open();
+  EXPECT_EQ(ask(signer_), 200U);
+  file(", path_groups: [\"lok\"]", "1h");
+  run_on_loop([&] { guardian_->reread(); });
+  usleep(100000);
+  EXPECT_EQ(ask(signer_), 200U);
+  file(", path_groups: [\"pay\"]", "1h");
+  run_on_loop([&] {
+    for (int i = 0; i < 50; ++i) guardian_->reread();  // a storm of signals is read twice
+  });
+  usleep(150000);
+  EXPECT_EQ(ask(signer_), 403U);
+  TearDown();
+  EXPECT_TRUE(told("o.cue:1:"));
+  EXPECT_TRUE(told("no path group is called lok"));
+  EXPECT_EQ(std::count_if(told_.begin(), told_.end(),
+                          [](const auto& l) { return l.find("read again") != std::string::npos; }),
+            2);
+}
+
+TEST_F(GuardianTest, ABadFileAtTheStartEndsIt) {
+  file(", path_groups: [\"lok\"]");
+  keys({});
+  service_ = std::make_unique<Service>(
+      loop_, limits_, terms_, door_,
+      Site{"n", "127.0.0.1:0", discovery_.address(), desk_.address(), 7, "", ""}, [](std::string_view) {});
+  EXPECT_THROW(Guardian(loop_, *service_, door_, terms_, folder_.at("o.cue"), 7, [](std::string_view) {}),
+               OperatorsError);
+  service_.reset();
+}
+
+TEST(KeysCommand, KeysItWritesAreThoseThatRoutersRead) {
+  const Folder folder;
+  KeysOptions o;
+  o.folder = folder.at("ring"), o.kid = "a";
+  EXPECT_EQ(keys_new(o), 0);
+  EXPECT_EQ(keys_new(o), 1);  // called so already
+  o.kid = "../a";
+  EXPECT_EQ(keys_new(o), 1);
+  o.kid = "b", o.algorithm = "ES256";
+  EXPECT_EQ(keys_new(o), 0);
+  o.kid = "a";
+  EXPECT_EQ(keys_revoke(o), 0);
+  o.kid = "b";
+  EXPECT_EQ(keys_retire(o), 0);
+  const KeyFolder read = read_key_folder(o.folder);
+  ASSERT_EQ(read.keys.size(), 2U);
+  EXPECT_TRUE(read.keys[0].revoked && !read.keys[1].revoked && read.keys[1].retired > 0);
+  EXPECT_FALSE(read.keys[0].key.is_private());
+  struct stat about {};
+  EXPECT_EQ(::stat((o.folder + "/private/a.json").c_str(), &about), 0);
+  EXPECT_EQ(about.st_mode & 0777U, 0600U);
+  o.subject = "r", o.tenant = "shop", o.kid = "none";
+  EXPECT_EQ(keys_token(o), 1);
+  o.kid = "b";
+  testing::internal::CaptureStdout();
+  EXPECT_EQ(keys_token(o), 0);
+  const std::string token = testing::internal::GetCapturedStdout();
+  const auto jws = tokens::split(std::string_view(token).substr(0, token.size() - 1));
+  ASSERT_TRUE(jws);
+  EXPECT_TRUE(read.keys[1].key.verifies(jws->signed_bytes, jws->signature));
+  ::chmod((o.folder + "/private/b.json").c_str(), 0644);
+  EXPECT_EQ(keys_token(o), 1);  // others may read it
+}
+
+TEST(JsonLog, EachLineIsOneObjectHoweverLongOrOddItsText) {
+  JsonLines lines;
+  for (const std::string& text : {std::string("plain"), std::string("quote \" and \n and \x01"),
+                                  std::string(5000, '"'), std::string(5000, 'x')}) {
+    spdlog::details::log_msg msg("n", spdlog::level::info, text);
+    spdlog::memory_buf_t line;
+    lines.format(msg, line);
+    ASSERT_LE(line.size(), 1024U);
+    ASSERT_EQ(line.data()[line.size() - 1], '\n');
+    const auto json = Json::parse(std::string_view(line.data(), line.size() - 1));
+    ASSERT_TRUE(json && json->is_object());
+    EXPECT_TRUE(text.starts_with(json->text("text")));
+    EXPECT_GT(json->number("time", 0), 1e9);
+  }
+}
+
+TEST(Worker, LeavesAJobBehindThatDoesNotEnd) {
+  Loop loop;
+  std::promise<void> never;
+  const auto begin = loop.now();
+  {
+    Worker worker(loop);
+    auto hangs = never.get_future().share();
+    worker.run([hangs]() -> std::function<void()> {
+      hangs.wait();
+      return [] { ADD_FAILURE() << "answered though its worker is gone"; };
+    });
+    usleep(20000);
+  }
+  EXPECT_LT(loop.now() - begin, Span::s(2));
+  never.set_value();
+  usleep(20000);
+}
+
+}  // namespace
+}  // namespace ashbeam
--- a/tests/tls_test.cpp
+++ b/tests/tls_test.cpp
@@ -1,6 +1,7 @@
 // The TLS listener: whom it believes, what it forgets when told to, and rubbish. Stand-ins on a loop of their
 // own.
 #include <Poco/Exception.h>
+#include <openssl/ssl.h>
 #include <openssl/x509.h>
 
 #include <csignal>
@@ -313,6 +314,22 @@
   EXPECT_TRUE(noted("tls: plain HTTP on the TLS port"));
 }
 
+TEST_F(TlsTest, ARenegotiationEndsTheConnection) {
+  begin();
+  Stream c = raw();
+  const std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)> ctx(SSL_CTX_new(TLS_client_method()), SSL_CTX_free);
+  SSL_CTX_set_max_proto_version(ctx.get(), TLS1_2_VERSION);
+  const std::unique_ptr<SSL, decltype(&SSL_free)> ssl(SSL_new(ctx.get()), SSL_free);
+  SSL_set_fd(ssl.get(), c.fd);
+  ASSERT_EQ(SSL_connect(ssl.get()), 1);
+  SSL_renegotiate(ssl.get());
+  EXPECT_NE(SSL_do_handshake(ssl.get()), 1);
+  EXPECT_TRUE(c.ended() || SSL_get_error(ssl.get(), -1) == SSL_ERROR_SSL);
+  usleep(30000);
+  end();
+  EXPECT_TRUE(noted("tls: renegotiation"));
+}
+
 TEST_F(TlsTest, SilentHandshakesGiveWayToThoseThatGoOn) {
   tls_.handshakes = 8;
   tls_.handshake = Span::s(5);
