Metadata is checked in flight: what goes back, is half signed or frozen is tried elsewhere

A stale or rolled-back file passed unnoticed. The operator's file names repositories by prefix; a host's 200 is checked against the trust that has passed here, what this client was served and, where neither is known, by itself. A refused file is an error of its host to the module, the next host is tried, and the client gets 502 with the reason at last.

--- a/src/metadata/refusal.hpp
+++ b/src/metadata/refusal.hpp
@@ -42,7 +42,14 @@
   std::string said;          // "timestamp 41 < 43"
   const char* section = "";  // of the specification
   explicit operator bool() const { return why != Why::kNone; }
-  std::string line() const { return std::string(word_of(why)) + " " + said + " (" + section + ")"; }
+  // On one line, whatever names a hostile file brought.
+  std::string line() const {
+    std::string all = std::string(word_of(why)) + " " + said.substr(0, 160) + " (" + section + ")";
+    for (char& c : all) {
+      if (static_cast<unsigned char>(c) < ' ' || static_cast<unsigned char>(c) > '~') c = '?';
+    }
+    return all;
+  }
 };
 
 }  // namespace ashbeam::metadata
--- a/src/program/guardian.cpp
+++ b/src/program/guardian.cpp
@@ -13,6 +13,11 @@
   Fresh fresh = reading_by_->read("");
   if (!fresh.problem.empty()) throw OperatorsError(fresh.problem);
   standing_ = fresh.operators;
+  if (standing_.metadata) {
+    std::vector<metadata::RepositoryTerms> all = standing_.metadata->repositories;
+    for (auto& r : all) r.root = read_file(r.root, metadata::most_bytes("root"));
+    service_.watch_metadata(std::make_unique<metadata::Warden>(std::move(all), standing_.metadata->clients));
+  }
   if (!standing_.calling && !standing_.tls) return;
   worker_ = std::make_unique<Worker>(loop_);
   if (standing_.tls) service_.also_listen(*standing_.tls, fresh.tls);
--- a/src/program/operators.cpp
+++ b/src/program/operators.cpp
@@ -19,6 +19,7 @@
 #File: {
 	calling?: #Calling // who is calling: tokens, certificates, rights, quotas
 	tls?:     #Tls     // a second listener, with TLS
+	metadata?: #Metadata // signed update metadata, checked in flight
 }
 
 // Rates are of all routers together.
@@ -83,6 +84,17 @@
 	handshake_cpu: *0.25 | (number & >0 & <=1) // seconds of CPU a second
 	ticket_turn: *"1h" | (span & >="1s" & <="24h")
 }
+
+#Metadata: {
+	repositories: [...#Repository]
+	clients:      *65536 | (int & >=16 & <=4000000) // whose last timestamp is remembered, 60 bytes each
+}
+
+#Repository: {
+	prefix: string & !=""  // of paths, with the path group before: "/look/updates/"
+	root:   string & !=""  // the pinned root's file: the oldest that clients have
+	lag:    *"30s" | (span & <="1h") // how long after a new timestamp hosts may still serve the one before
+}
 )cue";
 
 calling::Limit limit_of(const Value& v) {
@@ -133,6 +145,7 @@
       const Value& tls = checked.value["tls"];
       if (calling.given()) all.calling = read_calling(calling);
       if (tls.given()) all.tls = read_tls(tls);
+      if (checked.value["metadata"].given()) all.metadata = read_metadata(checked.value["metadata"]);
       if (calling.given() && calling["prove"].text == "required" && !calling["tokens"].given() &&
           (!tls.given() || tls["clients"].text == "off"))
         wrong(calling, "calling.prove", "tokens or tls.clients, or nobody can prove anything", "neither");
@@ -194,6 +207,26 @@
     return c;
   }
 
+  Operators::Metadata read_metadata(const Value& v) {
+    Operators::Metadata m;
+    m.clients = static_cast<std::size_t>(v["clients"].number);
+    for (const Value& r : v["repositories"].items) {
+      const std::string& prefix = r["prefix"].text;
+      const std::size_t second = prefix.find('/', 1);
+      const bool good = prefix[0] == '/' && second != std::string::npos && prefix.ends_with('/');
+      const auto group = [&] { return prefix.substr(1, second - 1); };
+      if (!good) {
+        wrong(r["prefix"], "metadata.repositories", "a prefix like /look/updates/", records::quoted(prefix));
+      } else if (door_ && std::find(door_->path_groups.begin(), door_->path_groups.end(), group()) ==
+                              door_->path_groups.end()) {
+        wrong(r["prefix"], "metadata.repositories", "a path group at the prefix's head",
+              records::quoted(prefix));
+      }
+      m.repositories.push_back({prefix, file(r["root"]), r["lag"].span()});
+    }
+    return m;
+  }
+
   TlsTerms read_tls(const Value& v) {
     TlsTerms t;
     t.listen = v["listen"].text;
--- a/src/program/operators.hpp
+++ b/src/program/operators.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "calling/terms.hpp"
+#include "metadata/warden.hpp"
 #include "terms/terms.hpp"
 #include "transport/tls_terms.hpp"
 
@@ -20,6 +21,11 @@
   };
   std::optional<Calling> calling;
   std::optional<TlsTerms> tls;
+  struct Metadata {
+    std::vector<metadata::RepositoryTerms> repositories;  // `root` is a path here
+    std::size_t clients = 0;
+  };
+  std::optional<Metadata> metadata;
 };
 
 struct OperatorsError : std::runtime_error {
--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -12,6 +12,7 @@
       requests_(http::Messages::Side::kRequests, callers.limits_.head, callers.limits_.body),
       timer_(callers.loop_, [this] { late(); }) {
   // Guards against clients that connect and say nothing, or never come to an end of what they say.
+  serial = ++callers.serials_;
   timer_.in(connection_.shaking() ? callers.handshake_() : callers.limits_.first_request);
 }
 
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -33,6 +33,7 @@
   void end_after() { last_ = true; }  // the connection ends after the answer to the request at hand
   std::uint32_t hit = UINT32_MAX;     // the owner's mark on the request at hand
   calling::Presence presence;         // and on the connection
+  std::uint64_t serial = 0;           // the connection\'s number, never given twice
 
  private:
   friend class Callers;
@@ -92,6 +93,7 @@
   Came came_;
   Left left_, overdue_;
   bool winding_down_ = false;
+  std::uint64_t serials_ = 0;
   std::vector<std::unique_ptr<Caller>> callers_;
   Timer room_;
   Listener listener_;
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -153,6 +153,16 @@
   caller.hit = place;
   hit.give_up_at = give_up_at;
   hit.ticket = ticket;
+  if (warden_) {
+    std::string_view file;
+    const std::string_view whole = head.word(1);
+    const std::uint32_t repository = warden_->repository_of(whole.substr(0, whole.find('?')), file);
+    if (repository != metadata::Warden::kNone) {
+      // Who has proven nothing is known by the connection.
+      const std::uint64_t client = who.caller.empty() ? caller.serial : who.hash;
+      hit.metadata = std::make_unique<Metadata>(Metadata{repository, std::string(file), client, {}});
+    }
+  }
   hit.head.assign(head.first_line());
   hit.head += gate_ ? vouched_lines(head, who, token_goes_on_) : kept_lines(head);
   hit.body = request.take_raw_body();
@@ -274,10 +284,19 @@
 void Service::bounce(HitId id, Span retry_after) {
   char after[48] = "";
   if (retry_after > Span()) std::snprintf(after, sizeof after, "Retry-After: %.3f\r\n", retry_after.s());
+  // A file that no host had in a good form is no lack of room.
+  const Hit& hit = hits_[id];
+  if (hit.metadata && !hit.metadata->refused.empty())
+    return answer_finally(id, 502, after + ("X-Refused: " + hit.metadata->refused + "\r\n"));
   answer_finally(id, 503, after);
 }
 
-void Service::error(HitId id) { answer_finally(id, 502); }
+void Service::error(HitId id) {
+  const Hit& hit = hits_[id];
+  if (hit.metadata && !hit.metadata->refused.empty())
+    return answer_finally(id, 502, "X-Refused: " + hit.metadata->refused + "\r\n");
+  answer_finally(id, 502);
+}
 
 // The place is given back after the call at hand: the module may still name the hit in it.
 void Service::answer_finally(HitId id, unsigned status, std::string_view fields) {
@@ -285,6 +304,36 @@
   loop_.later([this, id] { drop_if_over(id); });
 }
 
+// ---- Metadata ----
+
+bool Service::fit(Hit& hit, HostIndex host, const http::Messages& answer) {
+  std::string plain;
+  metadata::Refusal why;
+  if (answer.head().find("Content-Encoding")) {
+    why = {metadata::Why::kUnreadable, "a coded body", "TUF 4.1"};
+  } else if (answer.head().find("Transfer-Encoding")) {
+    http::Body body(limits_.body);
+    body.by_chunks();
+    std::string_view bytes = answer.raw_body();
+    std::string raw;
+    body.feed(bytes, raw, &plain);
+  } else {
+    plain = answer.raw_body();
+  }
+  const Instant now = loop_.now();
+  if (!why)
+    why = warden_->check(hit.metadata->repository, hit.metadata->file, plain, hit.metadata->client, now);
+  if (!why) return true;
+  hit.metadata->refused = why.line();
+  Instant& told = refusal_told_[why.why];
+  if (now - told > Span::s(1)) {
+    told = now;
+    note_("metadata: refused " + hit.metadata->file.substr(0, 80) + " of " + hosts_[host].address + ": " +
+          why.line());
+  }
+  return false;
+}
+
 // ---- Forwards ----
 
 void Service::forward(HitId id, HostIndex host, Span try_for) {
@@ -320,12 +369,19 @@
   --hosts_[host].out;
   const Span took = loop_.now() - forward.sent;
   bool terminal = false;
+  unsigned status = 200;
+  if (hit.metadata && answer) {
+    // A client asks for the root after the last one until there is none (TUF 5.3.3): that is no failure.
+    if (result == Result::kError && answer->status() == 404 && hit.metadata->file.ends_with("root.json"))
+      result = Result::kOk, status = 404;
+    else if (result == Result::kOk && !fit(hit, host, *answer)) result = Result::kError;
+  }
   if (result == Result::kOk) {
     if (Caller* const caller = take_caller(id)) {
       std::string fields = kept_lines(answer->head());
       if (answer->body_by_stream_end())
         fields += "Content-Length: " + std::to_string(answer->raw_body().size()) + "\r\n";
-      caller->answer(200, fields, answer->raw_body());
+      caller->answer(status, fields, answer->raw_body());
       terminal = true;
     }
   }
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -11,6 +11,7 @@
 #include "base/slab.hpp"
 #include "calling/gate.hpp"
 #include "choice.hpp"
+#include "metadata/warden.hpp"
 #include "routing/callers.hpp"
 #include "routing/desk.hpp"
 #include "routing/discovery.hpp"
@@ -43,6 +44,9 @@
   // From now on who calls is asked before a hit is taken; before `start`, or not at all.
   void guard(std::unique_ptr<calling::Gate> gate, bool token_goes_on);
   calling::Gate* gate() { return gate_.get(); }
+  // From now on metadata files are checked before their first byte goes on; before `start`, or not at all.
+  void watch_metadata(std::unique_ptr<metadata::Warden> warden) { warden_ = std::move(warden); }
+  const metadata::Warden* warden() const { return warden_.get(); }
   // A second listener, behind TLS.
   void also_listen(const TlsTerms& terms, std::shared_ptr<TlsMaterial> material);
   TlsDoor* tls() { return tls_.get(); }
@@ -56,6 +60,12 @@
     Instant sent;
     HostPools::Link* link = nullptr;  // stands while the forward is out
   };
+  struct Metadata {
+    std::uint32_t repository = 0;
+    std::string file;
+    std::uint64_t client = 0;
+    std::string refused;  // why the last answer was not passed on
+  };
   struct Hit {
     bool live = false;         // in a place of the slab
     Caller* caller = nullptr;  // none once it is answered or its client has left
@@ -64,6 +74,7 @@
     std::vector<Leg> legs;
     unsigned out = 0;
     calling::Ticket ticket;
+    std::unique_ptr<Metadata> metadata;  // of a hit for a repository's file
   };
   struct Known {  // of a host, as last listed
     std::string address;
@@ -90,6 +101,8 @@
   bool let_in(Caller& caller, const calling::Identity& who, unsigned group, calling::Ticket& ticket);
   void refuse(Caller& caller, calling::Refusal why, Span retry_after);
   void tell_refused();
+  // Is this answer fit for the client? What is not counts as an error of its host.
+  bool fit(Hit& hit, HostIndex host, const http::Messages& answer);
 
   // What comes in.
   void came(Caller& caller, http::Messages& request);
@@ -144,6 +157,8 @@
   Timer stop_;
   std::function<void()> wound_down_;
   std::unique_ptr<calling::Gate> gate_;
+  std::unique_ptr<metadata::Warden> warden_;
+  std::map<metadata::Why, Instant> refusal_told_;  // one line for each kind and second
   bool token_goes_on_ = false;
   calling::Identity who_;                    // of the request at hand; kept for its room
   std::vector<std::uint64_t> refused_told_;  // by reason, as last logged
--- a/tests/router_world.hpp
+++ b/tests/router_world.hpp
@@ -22,6 +22,11 @@
   std::string held;
   explicit Stream(int descriptor) : fd(descriptor) {}
   Stream(Stream&& other) noexcept : fd(std::exchange(other.fd, -1)), held(std::move(other.held)) {}
+  Stream& operator=(Stream&& other) noexcept {
+    shut();
+    fd = std::exchange(other.fd, -1), held = std::move(other.held);
+    return *this;
+  }
   ~Stream() { shut(); }
   void shut() {
     if (fd >= 0) ::close(std::exchange(fd, -1));
