--- a/src/metadata/warden.cpp
+++ b/src/metadata/warden.cpp
@@ -35,7 +35,7 @@
     const Step step = pin(terms.root);
     if (step.refusal) throw std::runtime_error(terms.prefix + ": pinned root: " + step.refusal.line());
     r.trust = step.trust;
-    r.roots[r.trust.root->version] = r.trust.root->digest;
+    r.roots[r.trust.root->version] = {r.trust.root->digest, 0};
     r.terms = std::move(terms);
     by_length_.push_back(static_cast<std::uint32_t>(all_.size()));
     all_.push_back(std::move(r));
@@ -62,16 +62,10 @@
   if (!split_name(file, role, version)) return {};
   const std::uint64_t key = client_key(repository, client);
   Refusal why;
-  if (role == "root") why = root(r, version, bytes);
+  if (role == "root") why = root(r, version, bytes, key, now);
   else if (role == "timestamp") why = timestamp(r, bytes, key, now);
   else why = below(r, role, version, bytes, now);
   if (why) ++refused_[static_cast<std::size_t>(why.why)];
-  else if (role == "timestamp") {
-    const std::string digest = sha256_hex(bytes);
-    for (const Passed& p : r.passed) {
-      if (p.timestamp->digest == digest) served(repository, key, p.timestamp->version);
-    }
-  }
   return why;
 }
 
@@ -81,11 +75,15 @@
   return std::move(step.refusal);
 }
 
-Refusal Warden::root(Repository& r, std::int64_t named, std::string_view bytes) {
+Refusal Warden::root(Repository& r, std::int64_t named, std::string_view bytes, std::uint64_t key,
+                     Instant now) {
   const std::int64_t trusted = r.trust.root->version;
   const std::string digest = sha256_hex(bytes);
-  if (const auto known = r.roots.find(named); known != r.roots.end() && known->second == digest) return {};
-  if (digest == r.trust.root->digest) return {};
+  const auto known = r.roots.find(named == 0 ? trusted : named);
+  if (known != r.roots.end() && known->second.digest == digest) {
+    served(r, key, {known->second.turn, 0});
+    return {};
+  }
   Trust next = r.trust;
   if (Refusal why = note(take_root(r.trust, bytes), next)) {
     // Roots between may have passed elsewhere: one that the trusted keys have signed may pass, and moves
@@ -99,32 +97,37 @@
     return {Why::kMismatch,
             "root " + std::to_string(next.root->version) + " under the name of " + std::to_string(named),
             "TUF 5.3.3"};
-  const bool fell = r.trust.timestamp && !next.timestamp;
+  const Root& old = *r.trust.root;
+  const auto turned = [&](const char* role) {
+    return !(old.roles.find(role)->second == next.root->roles.find(role)->second);
+  };
+  if (turned("timestamp") || turned("snapshot")) {
+    ++r.turn;
+    for (Passed& p : r.passed) p.until = std::min(p.until, now + r.terms.lag);
+  }
   r.trust = std::move(next);
-  r.roots[r.trust.root->version] = digest;
+  // The newest timestamp goes on under the new root: what it leads to must not bring the old one back.
+  if (!r.passed.empty() && r.passed.back().until == Instant::never()) r.passed.back().at = r.trust;
+  r.roots[r.trust.root->version] = {digest, r.turn};
   if (r.roots.size() > kMostKnown) r.roots.erase(r.roots.begin());
-  if (fell) {
-    // Recovery from fast-forward: what clients were served before binds no more either.
-    r.passed.clear();
-    r.forgotten_floor = 0;
-    const auto repository = static_cast<std::uint32_t>(&r - all_.data());
-    for (std::uint32_t at = oldest_; at != kNone; at = clients_[at].newer) {
-      if (clients_[at].repository == repository) clients_[at].floor = 0;
-    }
-  }
+  served(r, key, {r.turn, 0});
   return {};
 }
 
 Refusal Warden::timestamp(Repository& r, std::string_view bytes, std::uint64_t key, Instant now) {
   std::erase_if(r.passed, [&](const Passed& p) { return p.until <= now; });
   const std::string digest = sha256_hex(bytes);
-  const std::int64_t floor = floor_of(r, key);
-  const auto too_old = [&](std::int64_t version) -> Refusal {
-    if (version >= floor) return {};
-    return {Why::kRollback,
-            "timestamp " + std::to_string(version) + " < " + std::to_string(floor) +
-                " that this client was served",
-            "TUF 5.4.3.1"};
+  const Floor floor = floor_of(r, key);
+  const auto pass = [&](std::int64_t turn, std::int64_t version) -> Refusal {
+    if (Floor{turn, version} < floor) {
+      const std::string seen =
+          turn < floor.turn ? "keys that a root has turned" : std::to_string(floor.version);
+      return {Why::kRollback,
+              "timestamp " + std::to_string(version) + " < " + seen + " that this client was served",
+              "TUF 5.4.3.1"};
+    }
+    served(r, key, {turn, version});
+    return {};
   };
   for (const Passed& p : r.passed) {
     if (p.timestamp->digest != digest) continue;
@@ -133,16 +136,15 @@
           Why::kExpired,
           "timestamp " + std::to_string(p.timestamp->version) + " expired " + date_text(p.timestamp->expires),
           "TUF 5.4.4"};
-    return too_old(p.timestamp->version);  // the very bytes that passed before: no signature is computed
+    return pass(p.turn, p.timestamp->version);  // the very bytes that passed before: no signature is computed
   }
   Trust next = r.trust;
   if (Refusal why = note(take_timestamp(r.trust, bytes, now), next)) return why;
-  if (Refusal why = too_old(next.timestamp->version)) return why;
-  if (!r.passed.empty() && r.passed.back().until == Instant::never())
-    r.passed.back().until = now + r.terms.lag;
+  if (Refusal why = pass(r.turn, next.timestamp->version)) return why;
+  for (Passed& p : r.passed) p.until = std::min(p.until, now + r.terms.lag);
   if (r.passed.size() >= kMostVersions) r.passed.erase(r.passed.begin());
   r.trust = std::move(next);
-  r.passed.push_back({r.trust.timestamp, Instant::never(), r.trust});
+  r.passed.push_back({r.trust.timestamp, Instant::never(), r.trust, r.turn});
   return {};
 }
 
@@ -235,34 +237,34 @@
   newest_ = at;
 }
 
-std::int64_t Warden::floor_of(const Repository& r, std::uint64_t key) const {
+Warden::Floor Warden::floor_of(const Repository& r, std::uint64_t key) const {
   const std::uint32_t at = by_client_.find(key);
   if (at == IndexMap::kNone) return r.forgotten_floor;
   return const_cast<Slab<Client>&>(clients_)[at].floor;
 }
 
-void Warden::served(std::uint32_t repository, std::uint64_t key, std::int64_t version) {
+void Warden::served(Repository& r, std::uint64_t key, Floor floor) {
   std::uint32_t at = by_client_.find(key);
   if (at == IndexMap::kNone) {
     if (by_client_.size() >= most_clients_) {
       const std::uint32_t out = oldest_;
-      Repository& r = all_[clients_[out].repository];
-      r.forgotten_floor = std::max(r.forgotten_floor, clients_[out].floor);
+      Repository& its = all_[clients_[out].repository];
+      its.forgotten_floor = std::max(its.forgotten_floor, clients_[out].floor);
       unlink(out);
       by_client_.erase(clients_[out].key);
       clients_.give_back(out);
     }
     at = clients_.take();
     clients_[at].key = key;
-    clients_[at].repository = repository;
-    clients_[at].floor = all_[repository].forgotten_floor;
+    clients_[at].repository = static_cast<std::uint32_t>(&r - all_.data());
+    clients_[at].floor = r.forgotten_floor;
     by_client_.put(key, at);
     link_newest(at);
   } else if (at != newest_) {
     unlink(at);
     link_newest(at);
   }
-  clients_[at].floor = std::max(clients_[at].floor, version);
+  clients_[at].floor = std::max(clients_[at].floor, floor);
 }
 
 }  // namespace ashbeam::metadata
--- a/src/metadata/warden.hpp
+++ b/src/metadata/warden.hpp
@@ -8,6 +8,9 @@
 // - What hangs on a timestamp is held against those that may pass now. Where none is known yet (a fresh
 // start),
 //   it must be signed by its role, whole and in date: its place in the chain is then the client's to check.
+// - After a root that turns the timestamp's keys, timestamps of before may pass for `lag` to clients that
+// have
+//   not been given that root here.
 // - A delegated role whose delegator has not passed here can't be checked, and is refused.
 // What is remembered of clients is bounded: who is forgotten counts as having seen what the most recent of
 // the forgotten saw, so that forgetting never lets a rollback pass. Killed, all of it is lost: trust begins
@@ -54,26 +57,38 @@
   std::size_t clients() const { return by_client_.size(); }
 
  private:
+  // How far a client has come: with each root that turns the timestamp's or the snapshot's keys versions
+  // begin anew (recovery from fast-forward), so the turn goes first.
+  struct Floor {
+    std::int64_t turn = 0, version = 0;
+    auto operator<=>(const Floor&) const = default;
+  };
   struct Passed {  // a timestamp that was the newest
     std::shared_ptr<const Timestamp> timestamp;
     Instant until;  // from then on it may pass no more; never: it is the newest
     Trust at;       // the trust that went with it
+    std::int64_t turn = 0;
   };
   struct Repository {
     RepositoryTerms terms;
     Trust trust;
-    std::map<std::int64_t, std::string> roots;               // digests, by version
+    struct KnownRoot {
+      std::string digest;
+      std::int64_t turn = 0;
+    };
+    std::map<std::int64_t, KnownRoot> roots;  // by version
+    std::int64_t turn = 0;
     std::vector<Passed> passed;                              // the newest last
     std::vector<std::pair<std::string, std::string>> known;  // file name and digest; the last used last
-    std::int64_t forgotten_floor = 0;
+    Floor forgotten_floor;
   };
   struct Client {
     std::uint64_t key = 0;
     std::uint32_t repository = 0;
-    std::int64_t floor = 0;  // the newest timestamp that it was served
+    Floor floor;  // what it was served last
     std::uint32_t older = kNone, newer = kNone;
   };
-  Refusal root(Repository& r, std::int64_t named, std::string_view bytes);
+  Refusal root(Repository& r, std::int64_t named, std::string_view bytes, std::uint64_t key, Instant now);
   Refusal timestamp(Repository& r, std::string_view bytes, std::uint64_t key, Instant now);
   Refusal below(Repository& r, const std::string& role, std::int64_t named, std::string_view bytes,
                 Instant now);
@@ -81,8 +96,8 @@
                 Instant now);  // no context
   Refusal note(Step step, Trust& into);
   bool knows(Repository& r, const std::string& file, const std::string& digest);
-  std::int64_t floor_of(const Repository& r, std::uint64_t key) const;
-  void served(std::uint32_t repository, std::uint64_t key, std::int64_t version);
+  Floor floor_of(const Repository& r, std::uint64_t key) const;
+  void served(Repository& r, std::uint64_t key, Floor floor);
   void unlink(std::uint32_t at);
   void link_newest(std::uint32_t at);
 
--- a/src/program/commands.hpp
+++ b/src/program/commands.hpp
@@ -24,4 +24,8 @@
 int keys_revoke(const KeysOptions& options);
 int keys_token(const KeysOptions& options);
 
+int metadata_show(const std::string& path);
+// Follows the workflow through a folder's files like a client that holds `root`.
+int metadata_check(const std::string& root, const std::string& folder);
+
 }  // namespace ashbeam
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -66,6 +66,17 @@
   token->add_option("--kid", keys.kid, "the key; by default the newest that signs");
   token->add_option("--cert", keys.certificate, "PEM certificate that the token is bound to");
 
+  auto* const metadata = app.add_subcommand("metadata", "look at update metadata (TUF)");
+  metadata->require_subcommand(1);
+  std::string shown, root, folder;
+  auto* const show = metadata->add_subcommand("show", "what a file says");
+  show->add_option("FILE", shown, "a role's file")->required();
+  show->callback([&] { code = metadata_show(shown); });
+  auto* const walk = metadata->add_subcommand("check", "follow a folder's files as a client does");
+  walk->add_option("--root", root, "the root that is trusted")->required();
+  walk->add_option("DIR", folder, "the folder")->required();
+  walk->callback([&] { code = metadata_check(root, folder); });
+
   DemoOptions demoing;
   auto* const demo_command =
       app.add_subcommand("demo", "a router with stand-in hosts, discovery and desk on loopback");
@@ -88,6 +99,6 @@
     return schema ? print_schema() : check_file(checked);
   }
   if (demo_command->parsed()) return demo(demoing);
-  if (keys_command->parsed()) return code;
+  if (keys_command->parsed() || metadata->parsed()) return code;
   return serve(serving);
 }
--- a/tests/guardian_test.cpp
+++ b/tests/guardian_test.cpp
@@ -8,6 +8,7 @@
 #include <future>
 
 #include "calling_helpers.hpp"
+#include "metadata/publisher.hpp"
 #include "program/commands.hpp"
 #include "program/log_sink.hpp"
 #include "router_world.hpp"
@@ -194,6 +195,41 @@
   EXPECT_EQ(keys_token(o), 1);  // others may read it
 }
 
+TEST(MetadataCommand, ChecksAFolderAsAClientWould) {
+  const Folder folder;
+  using namespace metadata;
+  Publisher p(Instant::at_us(4'000'000'000'000'000));
+  p.contents["targets"]["app"] = "1";
+  p.parts.push_back(
+      {"targets", "part", {{SigningKey::fresh(SigningKey::Kind::kEcdsa)}, 1}, {"p/*"}, {}, false, {}, 1});
+  const auto put = [&] {
+    for (const auto& [name, bytes] : p.files()) write_file(folder.at(name), bytes, 0644);
+  };
+  put();
+  const std::string pinned = folder.at("1.root.json");
+  testing::internal::CaptureStdout();
+  EXPECT_EQ(metadata_check(pinned, folder.path), 0);
+  EXPECT_EQ(metadata_show(folder.at("timestamp.json")), 0);
+  const std::string out = testing::internal::GetCapturedStdout();
+  EXPECT_NE(out.find("1.part.json: good\n"), std::string::npos) << out;
+  EXPECT_NE(out.find("timestamp 1, expires 2096-10-02T07:06:40Z, 1 signatures"), std::string::npos) << out;
+  const auto old = p.roles["root"];
+  p.versions["root"] = 2, p.roles["root"].keys = {SigningKey::fresh(SigningKey::Kind::kEd25519)};
+  put();  // without the former keys
+  testing::internal::CaptureStderr();
+  EXPECT_EQ(metadata_check(pinned, folder.path), 1);
+  EXPECT_EQ(testing::internal::GetCapturedStderr(),
+            "ashbeam metadata: 2.root.json: threshold root by the trusted root: 0 of 1 distinct keys (TUF "
+            "5.3.4)\n");
+  write_file(folder.at("2.root.json"), p.root(&old), 0644);
+  testing::internal::CaptureStdout();
+  EXPECT_EQ(metadata_check(pinned, folder.path), 0);
+  testing::internal::GetCapturedStdout();
+  ::unlink(folder.at("1.part.json").c_str());
+  EXPECT_EQ(metadata_check(pinned, folder.path), 1);
+  EXPECT_EQ(metadata_show(folder.at("nothing")), 1);
+}
+
 TEST(JsonLog, EachLineIsOneObjectHoweverLongOrOddItsText) {
   JsonLines lines;
   for (const std::string& text : {std::string("plain"), std::string("quote \" and \n and \x01"),
