--- a/proofs/calling.cpp
+++ b/proofs/calling.cpp
@@ -329,17 +329,17 @@
             (counts_.certificates_revoked % 2 == 0 ? "serial:" : "serial: ") + c->identity.serial + "\n";
         files_.revoked(revoked_);
         ++counts_.certificates_revoked;
-        c->told = now;
         router_->reread();
+        c->told = loop_.now();  // the file is there whole: from now on it is told
       }
       if (c->kind == "doomed-key" && c->told == Instant::never()) {
         for (auto& l : listed_) {
           if (l.kid == "d" + c->subject) l.revoked = true;
         }
         ++counts_.keys_revoked;
-        c->told = now;
         write_keys();
         router_->reread();
+        c->told = loop_.now();
       }
     }
     // For some seconds they go on to be refused; a revoked key is then taken off the list, and must stay
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -39,15 +39,19 @@
    public:
     explicit End(int fd) : StreamSocket(new Poco::Net::StreamSocketImpl(fd)) {}
   };
-  explicit Bell(const int (&pair)[2]) : in(pair[0]), out(pair[1]) {}
+  Bell(Loop& l, const int (&pair)[2]) : loop(l), in(pair[0]), out(pair[1]) {}
   void rung(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
     char some[64];
     while (::recv(in.impl()->sockfd(), some, sizeof some, MSG_DONTWAIT) == sizeof some) {
     }
+    // What was handed over since this turn began has had its byte taken just now: it is not left to the next
+    // event.
+    loop.later([] {});
   }
   void ring() {
     ::send(out.impl()->sockfd(), "!", 1, MSG_DONTWAIT | MSG_NOSIGNAL);
   }  // full: it rings already
+  Loop& loop;
   End in, out;
 };
 
@@ -58,7 +62,7 @@
   int pair[2];
   if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair) != 0)
     throw Poco::IOException("no socket pair can be had");
-  bell_ = std::make_unique<Bell>(pair);
+  bell_ = std::make_unique<Bell>(*this, pair);
   reactor().addEventHandler(bell_->in,
                             Poco::NObserver<Bell, Poco::Net::ReadableNotification>(*bell_, &Bell::rung));
 }
