A file under another version's name is refused; unread state and repeated lines go

It kept a list of known files that nothing read: gone. A caller's hash, the living states of a connection and a proof's main stand once each; what nobody called is gone. 168 tests and both proofs pass.

--- a/proofs/calling.cpp
+++ b/proofs/calling.cpp
@@ -2,7 +2,6 @@
 // revoked all along, a third of the time tokens with bad signatures come at ten times the usual rate. One
 // router on a thread of its own, with the files that an operator would write; stand-ins for all others on
 // another. Then quotas in simulated time: 1,000 routers, 10^6 subjects.
-#include <Poco/Exception.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -108,7 +107,7 @@
       });
       service.start();
       plain_ = service.port(), veiled_ = service.tls_port();
-      loop_ = &loop, guardian_ = &guardian, service_ = &service;
+      loop_ = &loop, guardian_ = &guardian;
       up_ = true;
       loop.run();
     });
@@ -125,7 +124,6 @@
   }
   std::string plain() const { return "127.0.0.1:" + std::to_string(plain_); }
   std::string veiled() const { return "127.0.0.1:" + std::to_string(veiled_); }
-  TlsDoor::Counts tls() const { return service_->tls()->counts(); }  // once the loop has ended, or roughly
 
  private:
   std::thread thread_;
@@ -133,7 +131,6 @@
   std::uint16_t plain_ = 0, veiled_ = 0;
   Loop* loop_ = nullptr;
   Guardian* guardian_ = nullptr;
-  Service* service_ = nullptr;
 };
 
 struct Counts {
@@ -611,13 +608,4 @@
 }  // namespace
 }  // namespace ashbeam
 
-int main(int argc, char** argv) {
-  try {
-    return ashbeam::prove(argc, argv);
-  } catch (const Poco::Exception& e) {
-    std::printf("proof calling: BROKEN: %s\n", e.displayText().c_str());
-  } catch (const std::exception& e) {
-    std::printf("proof calling: BROKEN: %s\n", e.what());
-  }
-  return 1;
-}
+int main(int argc, char** argv) { return ashbeam::run_proof("calling", argc, argv, ashbeam::prove); }
--- a/proofs/figures.hpp
+++ b/proofs/figures.hpp
@@ -1,5 +1,7 @@
 // What every proof does alike: its arguments, its figures one a line, its verdict.
 #pragma once
+#include <Poco/Exception.h>
+
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -49,4 +51,16 @@
   std::string why_;
 };
 
+// A proof's main: an exception breaks it, too.
+inline int run_proof(const char* name, int argc, char** argv, int (*prove)(int, char**)) {
+  try {
+    return prove(argc, argv);
+  } catch (const Poco::Exception& e) {
+    std::printf("proof %s: BROKEN: %s\n", name, e.displayText().c_str());
+  } catch (const std::exception& e) {
+    std::printf("proof %s: BROKEN: %s\n", name, e.what());
+  }
+  return 1;
+}
+
 }  // namespace ashbeam
--- a/proofs/metadata.cpp
+++ b/proofs/metadata.cpp
@@ -1,7 +1,6 @@
 // Update metadata in flight: a repository that publishes all along, hosts that take in each version at their
 // own pace, and then hosts that lie, through one router to clients that follow TUF's workflow themselves.
 // Before that, spoilt files in great number on the core alone.
-#include <Poco/Exception.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -378,13 +377,4 @@
 }  // namespace
 }  // namespace ashbeam
 
-int main(int argc, char** argv) {
-  try {
-    return ashbeam::prove(argc, argv);
-  } catch (const Poco::Exception& e) {
-    std::printf("proof metadata: BROKEN: %s\n", e.displayText().c_str());
-  } catch (const std::exception& e) {
-    std::printf("proof metadata: BROKEN: %s\n", e.what());
-  }
-  return 1;
-}
+int main(int argc, char** argv) { return ashbeam::run_proof("metadata", argc, argv, ashbeam::prove); }
--- a/src/calling/directory.cpp
+++ b/src/calling/directory.cpp
@@ -15,8 +15,7 @@
 
 }  // namespace
 
-Directory::Directory(const CallingTerms& terms)
-    : customers_(static_cast<std::uint32_t>(terms.customers.size())) {
+Directory::Directory(const CallingTerms& terms) {
   const auto part = [&](const Limit& limit, double over) {
     return Rate::part(limit, over, terms.lend, terms.bank);
   };
--- a/src/calling/directory.hpp
+++ b/src/calling/directory.hpp
@@ -36,7 +36,6 @@
   std::uint32_t by_organisation(std::string_view name) const { return look(organisations_, name); }
   const Tenant& operator[](std::uint32_t tenant) const { return tenants_[tenant]; }
   std::uint32_t size() const { return static_cast<std::uint32_t>(tenants_.size()); }
-  std::uint32_t customers() const { return customers_; }
 
  private:
   using Names = std::map<std::string, std::uint32_t, std::less<>>;
@@ -46,7 +45,6 @@
   }
   std::vector<Tenant> tenants_;
   Names names_, organisations_;
-  std::uint32_t customers_ = 0;
 };
 
 // What in the terms contradicts itself or names what is not there; empty if nothing.
--- a/src/calling/gate.cpp
+++ b/src/calling/gate.cpp
@@ -101,6 +101,10 @@
 
 // ---- Who it is ----
 
+std::uint64_t Gate::hash_of(const std::string& caller) const {
+  return XXH3_64bits_withSeed(caller.data(), caller.size(), seed_);
+}
+
 Refusal Gate::identify(const Asked& asked, Presence& presence, Instant now, Identity& into,
                        Span& retry_after) {
   into.tenant = Directory::kNone;
@@ -135,7 +139,7 @@
   into.rule = (*directory_)[into.tenant].rule_of(c.name);
   if (into.rule == Directory::kNone) return Refusal::kSubject;
   into.caller = caller_text((*directory_)[into.tenant].name, c.name);
-  into.hash = XXH3_64bits_withSeed(into.caller.data(), into.caller.size(), seed_);
+  into.hash = hash_of(into.caller);
   return Refusal::kNone;
 }
 
@@ -181,7 +185,7 @@
     const auto claims = jws ? tokens::read_claims(jws->payload, terms_.tenant_claim) : std::nullopt;
     if (claims) {
       const std::string caller = caller_text(claims->tenant, claims->subject);
-      const std::uint64_t hash = XXH3_64bits_withSeed(caller.data(), caller.size(), seed_);
+      const std::uint64_t hash = hash_of(caller);
       heard = subjects_.find(hash) != Subjects::kNone && named_.take(hash, now);
     }
   }
@@ -224,7 +228,7 @@
   grant.bound = claims->bound, grant.certificate = claims->certificate;
   if (grant.expires - grant.issued > terms_.longest_life) return Refusal::kTooLong;
   grant.caller = caller_text(grant.tenant, grant.subject);
-  grant.hash = XXH3_64bits_withSeed(grant.caller.data(), grant.caller.size(), seed_);
+  grant.hash = hash_of(grant.caller);
   // Times and rights change and are looked at again at each hit; a token that will never count is not kept.
   const Instant wall = now + wall_ahead_;
   if (wall > grant.expires + terms_.leeway) return Refusal::kExpired;
--- a/src/calling/gate.hpp
+++ b/src/calling/gate.hpp
@@ -93,6 +93,7 @@
                 Span& retry_after);
   Refusal verify(std::string_view text, Grant& grant, Instant now);
   Refusal times(const Grant& grant, const Certificate* certificate, Instant now) const;
+  std::uint64_t hash_of(const std::string& caller) const;
   Refusal resolve(Grant& grant) const;
   Refusal certificate(const Certificate& certificate, Instant now, Identity& into) const;
   void identity(const Grant& grant, Identity& into) const;
--- a/src/metadata/warden.cpp
+++ b/src/metadata/warden.cpp
@@ -109,7 +109,7 @@
   // The newest timestamp goes on under the new root: what it leads to must not bring the old one back.
   if (!r.passed.empty() && r.passed.back().until == Instant::never()) r.passed.back().at = r.trust;
   r.roots[r.trust.root->version] = {digest, r.turn};
-  if (r.roots.size() > kMostKnown) r.roots.erase(r.roots.begin());
+  if (r.roots.size() > kMostRoots) r.roots.erase(r.roots.begin());
   served(r, key, {r.turn, 0});
   return {};
 }
@@ -148,17 +148,20 @@
   return {};
 }
 
-bool Warden::knows(Repository& r, const std::string& file, const std::string& digest) {
-  const auto at = std::find(r.known.begin(), r.known.end(), std::pair(file, digest));
-  if (at == r.known.end()) return false;
-  std::rotate(at, at + 1, r.known.end());
-  return true;
+namespace {
+
+// Guards against one version's file under another's name: each is good in its place alone (section 5.6.2).
+Refusal named_so(const std::string& role, std::int64_t found, std::int64_t named) {
+  if (named == 0 || found == named) return {};
+  return {Why::kMismatch, role + " " + std::to_string(found) + " under the name of " + std::to_string(named),
+          "TUF 5.6.2"};
 }
 
+}  // namespace
+
 Refusal Warden::below(Repository& r, const std::string& role, std::int64_t named, std::string_view bytes,
                       Instant now) {
   std::erase_if(r.passed, [&](const Passed& p) { return p.until <= now; });
-  const std::string digest = sha256_hex(bytes), name = std::to_string(named) + "." + role;
   const auto step = [&](const Trust& trust) {
     if (role == "snapshot") return take_snapshot(trust, bytes, now);
     if (role == "targets") return take_targets(trust, bytes, now);
@@ -188,24 +191,26 @@
     const bool newest = p.until == Instant::never();
     Trust next = p.at;
     Refusal why = note(step(p.at), next);
+    if (!why) {
+      const std::int64_t found =
+          role == "snapshot" ? next.snapshot->version : next.targets.find(role)->second->version;
+      why = named_so(role, found, named);
+    }
     if (!why) {
       p.at = next;
       if (newest) r.trust = std::move(next);
-      if (!knows(r, name, digest)) {
-        if (r.known.size() >= kMostKnown) r.known.erase(r.known.begin());
-        r.known.emplace_back(name, digest);
-      }
       return {};
     }
     if (i + 1 == r.passed.size()) first = std::move(why);
     if (first.why == Why::kOutOfOrder && top) break;
   }
   // Where what it hangs on has not passed here, it must at least be good by itself.
-  if (top && first.why == Why::kOutOfOrder) return alone(r, role, bytes, now);
+  if (top && first.why == Why::kOutOfOrder) return alone(r, role, named, bytes, now);
   return first;
 }
 
-Refusal Warden::alone(const Repository& r, const std::string& role, std::string_view bytes, Instant now) {
+Refusal Warden::alone(const Repository& r, const std::string& role, std::int64_t named,
+                      std::string_view bytes, Instant now) {
   File file;
   if (Refusal why = read_file_of(role, bytes, file)) return why;
   const Root& root = *r.trust.root;
@@ -219,7 +224,7 @@
   if (now >= file.expires)
     return {Why::kExpired, role + " " + std::to_string(file.version) + " expired " + date_text(file.expires),
             "TUF 5.5.6"};
-  return {};
+  return named_so(role, file.version, named);
 }
 
 // ---- Clients ----
--- a/src/metadata/warden.hpp
+++ b/src/metadata/warden.hpp
@@ -39,7 +39,7 @@
 class Warden {
  public:
   static constexpr std::uint32_t kNone = UINT32_MAX;
-  static constexpr std::size_t kMostKnown = 256;    // files of a repository that have passed, by their hash
+  static constexpr std::size_t kMostRoots = 256;    // of a repository, whose bytes are known
   static constexpr std::size_t kMostVersions = 32;  // timestamps of a repository that may still pass
   // Throws std::runtime_error where a pinned root can't be used, naming its prefix.
   Warden(std::vector<RepositoryTerms> repositories, std::size_t clients);
@@ -78,8 +78,7 @@
     };
     std::map<std::int64_t, KnownRoot> roots;  // by version
     std::int64_t turn = 0;
-    std::vector<Passed> passed;                              // the newest last
-    std::vector<std::pair<std::string, std::string>> known;  // file name and digest; the last used last
+    std::vector<Passed> passed;  // the newest last
     Floor forgotten_floor;
   };
   struct Client {
@@ -92,10 +91,9 @@
   Refusal timestamp(Repository& r, std::string_view bytes, std::uint64_t key, Instant now);
   Refusal below(Repository& r, const std::string& role, std::int64_t named, std::string_view bytes,
                 Instant now);
-  Refusal alone(const Repository& r, const std::string& role, std::string_view bytes,
+  Refusal alone(const Repository& r, const std::string& role, std::int64_t named, std::string_view bytes,
                 Instant now);  // no context
   Refusal note(Step step, Trust& into);
-  bool knows(Repository& r, const std::string& file, const std::string& digest);
   Floor floor_of(const Repository& r, std::uint64_t key) const;
   void served(Repository& r, std::uint64_t key, Floor floor);
   void unlink(std::uint32_t at);
--- a/src/standins/pki.cpp
+++ b/src/standins/pki.cpp
@@ -141,7 +141,6 @@
     ERR_clear_error();
     const int done = SSL_do_handshake(ssl_.get());
     if (done == 1) {
-      shaken_ = true;
       tls_.resumed_ = SSL_session_reused(ssl_.get()) == 1;
       return Step::kDone;
     }
@@ -151,7 +150,6 @@
                                          : Step::kFailed;
   }
   void on_turn(std::function<void()>) override {}
-  bool shaken() const override { return shaken_; }
   std::ptrdiff_t receive(char* to, std::size_t most) override {
     ERR_clear_error();
     return told(SSL_read(ssl_.get(), to, static_cast<int>(most)));
@@ -175,7 +173,6 @@
   ClientTls& tls_;
   std::shared_ptr<SSL_CTX> ctx_;
   std::shared_ptr<SSL> ssl_;
-  bool shaken_ = false;
 };
 
 ClientTls::ClientTls(const Identity* identity, const Identity* between, bool resume, int newest)
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -111,7 +111,7 @@
 }
 
 void Connection::write(std::string_view bytes) {
-  if (state_ != State::kOpen && state_ != State::kOpening && state_ != State::kShaking) return;
+  if (!alive()) return;
   out_.append(bytes);
   if (state_ == State::kOpen && !writing_) flush();
 }
@@ -191,7 +191,7 @@
 
 void Connection::failed(const Told<ErrorNotification>&) {
   if (state_ == State::kOpen && reading_) return;  // reading tells the rest, and what came before the break
-  if (state_ == State::kOpen || state_ == State::kOpening || state_ == State::kShaking) end();
+  if (alive()) end();
 }
 
 // The owner hears of it after the call at hand.
@@ -227,11 +227,10 @@
 // Errors are reported whether asked for or not: unheard, they would spin the reactor. POCO 1.11 goes on
 // polling for what an observer that has been removed wanted; adding one, even anew, sets the mode right.
 void Connection::watch(bool reading, bool writing) {
-  const bool alive = state_ == State::kOpen || state_ == State::kOpening || state_ == State::kShaking;
   const bool fewer = (reading_ && !reading) || (writing_ && !writing);
   if (reading_ != reading) observe(reading_ = reading, &Connection::readable);
   if (writing_ != writing) observe(writing_ = writing, &Connection::writable);
-  if (alive != watched_ || (alive && fewer)) observe(watched_ = alive, &Connection::failed);
+  if (alive() != watched_ || (alive() && fewer)) observe(watched_ = alive(), &Connection::failed);
 }
 
 }  // namespace ashbeam
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -62,6 +62,7 @@
   void watch(bool reading, bool writing);
   template <class What>
   void observe(bool on, void (Connection::*told)(const Told<What>&));
+  bool alive() const { return state_ < State::kEnded; }  // the order of the states
   void flush();
   void shake();
   void read_held();
--- a/src/transport/tls.cpp
+++ b/src/transport/tls.cpp
@@ -330,7 +330,6 @@
     return Step::kDone;
   }
   void on_turn(std::function<void()> turn) override { turn_ = std::move(turn); }
-  bool shaken() const override { return shaken_; }
 
   std::ptrdiff_t receive(char* to, std::size_t most) override {
     ERR_clear_error();
--- a/src/transport/veil.hpp
+++ b/src/transport/veil.hpp
@@ -16,7 +16,6 @@
   // too.
   virtual Step shake() = 0;
   virtual void on_turn(std::function<void()> turn) = 0;
-  virtual bool shaken() const = 0;
   // As recv and send: 0 the other side has ended, -1 with errno, EAGAIN where it must wait.
   virtual std::ptrdiff_t receive(char* to, std::size_t most) = 0;
   virtual std::ptrdiff_t send(const char* from, std::size_t size) = 0;
--- a/tests/warden_test.cpp
+++ b/tests/warden_test.cpp
@@ -57,6 +57,8 @@
   EXPECT_EQ(p.check("1.snapshot.json", old_snapshot, 2), "");  // between two versions
   EXPECT_EQ(p.check("1.targets.json", old_targets, 2), "");
   EXPECT_EQ(p.check("2.snapshot.json", p.repository.snapshot(), 1), "");
+  EXPECT_EQ(p.check("2.snapshot.json", old_snapshot, 1), "mismatch");  // good, and not in this place
+  EXPECT_EQ(p.check("2.targets.json", old_targets, 1), "mismatch");
   p.now = p.now + Span::s(31);
   EXPECT_EQ(p.check("timestamp.json", old, 2), "rollback");
   EXPECT_EQ(p.check("timestamp.json", old, 3), "rollback");
@@ -68,6 +70,7 @@
 TEST(Warden, WhatIsNotInItsPlaceYetMustBeGoodByItself) {
   Passing p;
   EXPECT_EQ(p.check("1.snapshot.json", p.repository.snapshot()), "");
+  EXPECT_EQ(p.check("2.snapshot.json", p.repository.snapshot()), "mismatch");
   const Publisher stranger(kNow + Span::s(86400));
   EXPECT_EQ(p.check("1.snapshot.json", stranger.snapshot()), "threshold");
   EXPECT_EQ(p.check("1.snapshot.json", p.repository.snapshot().substr(0, 200)), "unreadable");
