Votes of many routers are spread over the time in which the desk takes them

All 294 routers write 'vote 1: build 114 stage 0 share 1.00' within second 9; a probe in Service::vote_answered counted the desk's answers: 35 taken, 259 Throttling, then no further vote before second 28. The settings say callsPerS 16, onVotes 118, ballotTtlMs 10000. Ruled out: harm (no 'step back' line), the ramp ('full share' at 8.0 s), patience (first votes at 9.1 s). At fault: Choice::cast sent at once whatever the number of routers, and vote_gap_, 2 x 294 / 16 = 37 s, kept each from trying again and from voting at the next stage. Now each router's first vote for a build and stage waits for a turn of its own choosing within the time in which the desk takes one call of each router ('back': of those needed), less the first second; turned away, it tries again within that time. Test: 300 routers and a desk that takes 16 a second get 16 standing without the change, over 118 with it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -147,7 +147,8 @@
         may_copy_(t.may_copy), by_group_(t.by_path_group), one_way_(t.one_way), clocked_(t.clocked),
         rolling_(t.rolling), longest_retry_after_(t.longest_retry_after), cold_window_(t.cold_window),
         warm_after_(t.warm_after), tick_(t.tick), window_(t.window), vote_life_(t.vote_life),
-        vote_gap_(Span::s(2.0 * t.routers / std::max(t.votes_per_s, 1.0))), start_capacity_(t.start_capacity),
+        vote_round_(Span::s(t.routers / std::max(t.votes_per_s, 1.0))),
+        back_round_(Span::s(t.back_needed / std::max(t.votes_per_s, 1.0))), start_capacity_(t.start_capacity),
         further_most_(std::max(kFurtherMost / t.routers, 2 * kCopyCost)), anew_part_(kAnew / t.routers),
         crowd_(std::log(std::max(1.0, t.routers / (kFewJudges * std::max(t.back_needed, 1U))))),
         sure_(kSure + 2 * crowd_), pace_(std::clamp(t.bake / kUsualBake, 0.3, 1.0)),
@@ -232,8 +233,7 @@
     if (answers_vote && answer != Answer::kTaken) {
       // No news with it. Void, full or failed: nothing stands. No answer: it may stand, so it is cast again.
       standing_ = Vote::kNone;
-      const double wait = answer < Answer::kFailed ? 1 : 0.25;
-      next_vote_ = now_ + vote_gap_ * (wait * (1 + 2 * chance_.unit()));
+      next_vote_ = now_ + turn(answer == Answer::kVoid ? 2 : 0.25, 0.75);
       return;
     }
     if (told_ && build < build_) return;
@@ -561,15 +561,26 @@
   void cast(Vote vote) {
     const bool stands = standing_ == vote && (vote == Vote::kBack || standing_stage_ == stage_);
     if (stands && now_ - voted_at_ < vote_life_ * 0.7) return;
+    // Guards against all routers voting at once: the platform takes few calls a second from all together, the
+    // rest are turned away. Each waits for a turn of its own choosing within the time that it takes to hear
+    // them, 'back' within the time for the votes that it needs. What a second can take is cast at once.
+    if (!stands && (vote != wish_ || build_ != wish_build_ || stage_ != wish_stage_)) {
+      wish_ = vote, wish_build_ = build_, wish_stage_ = stage_;
+      const Span round = vote == Vote::kOn ? vote_round_ * 0.75 : back_round_;
+      next_vote_ = now_ + std::max(Span(), round - Span::s(1)) * chance_.unit();
+    }
     if (now_ < next_vote_) return;
     if (!stands) log("vote %d: build %u stage %u share %.2f", static_cast<int>(vote), build_, stage_, share_);
     sink_.vote(build_, stage_, vote);
     standing_ = vote;
     standing_stage_ = stage_;
     voted_at_ = now_;
-    next_vote_ = now_ + vote_gap_ * (0.5 + chance_.unit());
+    next_vote_ = now_ + std::min(turn(0.5, 0.5), vote_life_ * 0.7);
   }
 
+  // Until this router's next call to the platform: parts of the time in which it takes one of each router.
+  Span turn(double least, double more) { return vote_round_ * (least + more * chance_.unit()); }
+
   // The part of hits that is drawn for the trial: the share of what its machines should carry, within the
   // cap.
   double trial_part() {
@@ -966,7 +977,7 @@
   std::vector<Customer> customers_;
   unsigned zone_, kinds_, max_forwards_;
   bool must_ask_, may_cancel_, may_copy_, by_group_, one_way_, clocked_, rolling_;
-  Span longest_retry_after_, cold_window_, warm_after_, tick_, window_, vote_life_, vote_gap_;
+  Span longest_retry_after_, cold_window_, warm_after_, tick_, window_, vote_life_, vote_round_, back_round_;
   double start_capacity_, further_most_, anew_part_, crowd_, sure_, pace_, cross_price_, over_share_worth_,
       first_cap_, spare_, reported_share_;
   std::vector<double> rings_;
@@ -996,8 +1007,9 @@
   std::array<std::vector<Samples>, 2> samples_;  // by kind of machine and path group
   std::array<std::vector<Count>, 2> tally_;      // by path group
   // Our vote.
-  Vote standing_ = Vote::kNone;
-  unsigned standing_stage_ = 0;
+  Vote standing_ = Vote::kNone, wish_ = Vote::kNone;
+  BuildId wish_build_ = 0;
+  unsigned standing_stage_ = 0, wish_stage_ = 0;
   Instant voted_at_, next_vote_;
   // Hits and keys.
   Slab<Hit> hits_;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -240,6 +240,50 @@
   EXPECT_EQ(w.sink.votes.back().second, Vote::kOn);
 }
 
+// Three hundred routers that are ready at one time, and a desk that takes 16 calls a second and turns the
+// rest away.
+TEST(Votes, ManyRoutersTogetherGetTheVotesThatAreNeeded) {
+  Terms terms = usual_terms();
+  terms.routers = 300;
+  terms.votes_per_s = 16;
+  terms.back_needed = 45;
+  for (const bool bad : {false, true}) {
+    std::vector<Instant> stands;
+    std::size_t most = 0, taken = 0;
+    std::vector<World> fleet;
+    fleet.reserve(terms.routers);
+    for (unsigned r = 0; r < terms.routers; ++r) {
+      fleet.emplace_back(terms, 8, 0, r + 1);
+      fleet.back().list(8, 3);
+      fleet.back().stage(2, 0, Phase::kTrial, 0.4);
+      if (bad) fleet.back().router->tally_told(1, 0, 900, 0, Span::ms(50), Span());
+      if (bad) fleet.back().router->tally_told(2, 0, 900, 800, Span::ms(50), Span());
+      stands.emplace_back();
+    }
+    for (int second = 0; second < 20; ++second) {
+      taken = 0;
+      for (int part = 0; part < 20; ++part) {
+        for (unsigned r = 0; r < terms.routers; ++r) {
+          World& w = fleet[r];
+          const std::size_t before = w.sink.votes.size();
+          w.run(Span::ms(50), 0);
+          for (std::size_t i = before; i < w.sink.votes.size(); ++i) {
+            const bool full = taken >= 16;
+            taken += !full;
+            if (!full) stands[r] = w.now;
+            w.router->stage_told(2, 0, Phase::kTrial, true, full ? Answer::kFull : Answer::kTaken, 0.4,
+                                 Span());
+          }
+        }
+        const Instant now = fleet.front().now;
+        const auto live = [&](Instant at) { return now - at < terms.vote_life; };
+        most = std::max<std::size_t>(most, std::count_if(stands.begin(), stands.end(), live));
+      }
+    }
+    EXPECT_GE(most, bad ? 45u : 118u) << (bad ? "back" : "on");
+  }
+}
+
 TEST(Departure, FullCapWhereNoEarlierHostIsLeft) {
   World w(usual_terms(), 0, 6);
   w.stage(2, 2, Phase::kTrial, 1.0);
