On sockets the list is always watched, and session keys are read from their header

Ruled out: slow delivery (Milano, which must ask, keeps its drains), the key rule of the module (its tests hold). At fault: the watch was opened only where the settings say 'subscribe' (Choice::started), though on sockets nobody sends the list unasked; and Service::came took keys and hints from X-Facts only. Now Service::start opens the watch itself; a key is the hash of X-Session-Key's text.

--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -1,5 +1,7 @@
 #include "routing/service.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -59,7 +61,7 @@
 
 // Is a figure that decisions need missing, or there twice, so that a host might take the other one?
 bool unclear(const http::Head& head, Repeats repeats, std::size_t longest_id) {
-  for (const char* name : {"X-Correlation-Id", "X-Time-Left-Ms", "Idempotency-Key"}) {
+  for (const char* name : {"X-Correlation-Id", "X-Time-Left-Ms", "Idempotency-Key", "X-Session-Key"}) {
     if (head.count(name) > 1) return true;
   }
   const auto id = head.find("X-Correlation-Id").value_or("");
@@ -103,6 +105,8 @@
   tell([](Router& r) { r.started(); });
   if (!site_.known.empty() && !discovery_.take(site_.known)) note_("known list can't be read");
   if (const auto news = Json::parse(site_.news)) stage(*news, false);
+  // On sockets nobody sends the list unasked, whatever the settings say of how it comes elsewhere.
+  follow_list();
   open_desk();
   ready_ = true;
 }
@@ -169,6 +173,11 @@
   caller.answer_by(give_up_at + limits_.overdue);
   std::uint64_t key = 0;
   double hint = 0;
+  // A key is any text; decisions need only know it again, and none is 0.
+  if (const auto named = head.find("X-Session-Key"); named && !named->empty())
+    key = XXH3_64bits(named->data(), named->size()) | 1U;
+  if (const auto weight = head.find("X-Weight-Hint"))
+    hint = static_cast<double>(http::whole_number(*weight).value_or(0)) / 1e3;  // of microseconds
   if (const auto facts = head.find("X-Facts")) {
     each_figure(*facts, [&](std::string_view name, double value) {
       if (name == "targetKey" && value >= 1 && value < 1.8e19) key = static_cast<std::uint64_t>(value);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -301,6 +301,35 @@
   EXPECT_TRUE(answer.ends_with("until the end"));
 }
 
+// What the new build has answered for a key goes to no earlier one; other keys do.
+TEST_F(RouterTest, AKeyThatTheNewBuildAnsweredStaysWithIt) {
+  terms_.one_way = true;
+  begin(list(entry(1, "up", 2), 41, true));
+  Stream d = discovery_.take(), c = client();
+  c.say(get(1500, "X-Session-Key: door-7\r\n"));
+  Stream h = hosts_[1].take();
+  ASSERT_FALSE(h.message().empty());
+  h.say(kOk);
+  ASSERT_EQ(status_of(c.message()), 200U);
+  d.say("HTTP/1.1 200 OK\r\n\r\n" + list(entry(0, "up", 1) + "," + entry(1, "draining", 2), 42) + "\n");
+  usleep(50000);
+  c.say(get(300, "X-Session-Key: door-7\r\n"));
+  EXPECT_FALSE(hosts_[0].asked(400));
+  EXPECT_EQ(status_of(c.message()), 503U);
+  c.say(get(1500, "X-Session-Key: door-8\r\n"));
+  EXPECT_TRUE(hosts_[0].asked(1500));
+}
+
+// Where the settings say that the list comes by itself, on sockets it does not.
+TEST_F(RouterTest, TheListIsWatchedWhereTheSettingsDoNotAskForIt) {
+  terms_.must_ask = false;
+  begin(all_hosts());
+  for (int lost = 0; lost < 2; ++lost) {
+    Stream d = discovery_.take(3000);
+    EXPECT_TRUE(d.message().starts_with("GET /registry/instances?follow=1&since=41 HTTP/1.1\r\n")) << lost;
+  }
+}
+
 TEST_F(RouterTest, AWatchThatFailsIsAskedForAgain) {
   limits_.discovery_silence = Span::ms(150);
   begin(all_hosts());
