A key is out at one build at a time, and keys answered by the next build stay with it

Also by reading: news of the build gone back, told again, emptied the table of keys that hosts of the next build had answered by then. At fault: may_forward looked at answers alone; stage_told dropped all pins. The table of keys has a bound now, past which new keys go to no build on trial.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -51,6 +51,8 @@
 constexpr double kFreeLoad = 1;  // a host's own work in open hits: from there latency grows with load
 constexpr std::uint64_t kBeatToken = 1, kAskToken = 2;
 constexpr HostIndex kNobody = UINT32_MAX, kExcused = kNobody - 1;
+constexpr BuildId kNoBuild = UINT32_MAX;
+constexpr std::size_t kMostPins = 1 << 17;  // keys remembered; beyond them new ones go to no build on trial
 constexpr std::size_t kSamples = 96;
 // Times this old are still compared; news of a host's speed gives way to its zone's that soon.
 constexpr Span kSameTimes = Span::s(10), kNewsFades = Span::s(2);
@@ -247,7 +249,7 @@
             share_);
     }
     if (phase == Phase::kReverting || phase == Phase::kWithdrawn) {
-      pins_ = IndexMap();  // the build went back: no key is bound to it any longer
+      gone_back_ = build;  // no key is bound to it, or to one before it, any longer
       standing_ = Vote::kNone;
     }
     told_ = true;
@@ -658,10 +660,23 @@
     return {};
   }
 
+  // The build at which some hit with this key is out: a key is out at one build at a time.
+  BuildId build_out(std::uint64_t key) {
+    for (std::uint32_t place = 0; place < hits_.places(); ++place) {
+      const Hit& hit = hits_[place];
+      if (!hit.live || hit.key != key) continue;
+      for (unsigned i = 0; i < hit.legs; ++i) {
+        if (hit.leg[i].out) return hit.leg[i].build;
+      }
+    }
+    return kNoBuild;
+  }
+
   // The draw decides between trial and earlier builds; the other side is asked only where the drawn one has
   // no room or is predicted late. Departure: then the trial may take up to the full cap, and no more.
   Pick choose(const Hit& hit) {
     const double part = trial_part();
+    key_out_ = one_way_ && hit.key != 0 ? build_out(hit.key) : kNoBuild;
     bool drawn = false;
     if (hit.blamed < kExcused) {
       // Failed once: the earlier build's hosts tell whether it is the hit that is to blame.
@@ -934,7 +949,10 @@
     }
     if (one_way_ && hit.key != 0) {
       const std::uint32_t pin = pins_.find(hit.key);
-      if (pin != IndexMap::kNone && host.build < pin) return false;
+      if (pin != IndexMap::kNone && pin > gone_back_ && host.build < pin) return false;
+      // Guards against a forward that waits for its connection while the new build answers for its key.
+      if (key_out_ != kNoBuild && host.build != key_out_) return false;
+      if (pin == IndexMap::kNone && pins_.size() >= kMostPins && on_trial(host.build)) return false;
     }
     if (on_trial(host.build) && !exposure_allows(hit, host.build, share)) return false;
     return cold_allows(host);
@@ -992,7 +1010,7 @@
   bool many_out_ = false;
   // The build on trial.
   bool told_ = false;
-  BuildId build_ = 0;
+  BuildId build_ = 0, gone_back_ = 0, key_out_ = kNoBuild;
   unsigned stage_ = 0;
   Phase phase_ = Phase::kReleased;
   double cap_ = 0, share_ = kFirstShare;
