Keys are recalled where forwards wait; the bound of young routers holds in large fleets only

Cause: (1) the module held back hits whose key was out at another build, though only a forward that still waits for its connection can arrive late; that is the network code's to know. Test of the recall: without it the request arrives at the earlier build's host.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -51,7 +51,6 @@
 constexpr double kFreeLoad = 1;  // a host's own work in open hits: from there latency grows with load
 constexpr std::uint64_t kBeatToken = 1, kAskToken = 2;
 constexpr HostIndex kNobody = UINT32_MAX, kExcused = kNobody - 1;
-constexpr BuildId kNoBuild = UINT32_MAX;
 constexpr std::size_t kMostPins = 1 << 17;  // keys remembered; beyond them new ones go to no build on trial
 constexpr std::size_t kSamples = 96;
 // Times this old are still compared; news of a host's speed gives way to its zone's that soon.
@@ -681,23 +680,10 @@
     return {};
   }
 
-  // The build at which some hit with this key is out: a key is out at one build at a time.
-  BuildId build_out(std::uint64_t key) {
-    for (std::uint32_t place = 0; place < hits_.places(); ++place) {
-      const Hit& hit = hits_[place];
-      if (!hit.live || hit.key != key) continue;
-      for (unsigned i = 0; i < hit.legs; ++i) {
-        if (hit.leg[i].out) return hit.leg[i].build;
-      }
-    }
-    return kNoBuild;
-  }
-
   // The draw decides between trial and earlier builds; the other side is asked only where the drawn one has
   // no room or is predicted late. Departure: then the trial may take up to the full cap, and no more.
   Pick choose(const Hit& hit) {
     const double part = trial_part();
-    key_out_ = one_way_ && hit.key != 0 ? build_out(hit.key) : kNoBuild;
     bool drawn = false;
     if (hit.blamed < kExcused) {
       // Failed once: the earlier build's hosts tell whether it is the hit that is to blame.
@@ -952,15 +938,15 @@
   // A cold host gets no more than what a warm one of its kind gets from us, nor than its part of all hits by
   // ability, scaled by the least it can do at its age. Guards against pushing it over. What is less than one
   // hit a window is drawn by lot (the host's phase), so that many routers together send it what they may.
-  // One of many routers that has just started itself does not know who else did, as where a zone comes back
-  // whole: until hosts as young as itself are warm, all together may send each what it bears if it is one,
-  // less a margin for chance. It binds where clients come again and again or hosts are out, hardly at
-  // ordinary load.
+  // One of so many routers that its part of a host is less than one hit a window does not know, just started
+  // itself, who else did, as where a zone comes back whole: until hosts as young as itself are warm, all
+  // together may send each what it bears if it is one, less a margin for chance. It binds where clients come
+  // again and again or hosts are out, hardly at ordinary load.
   bool cold_allows(Host& host) {
     const Instant start = may_have_started(host);
     double most = 1e9;
     if (now_ - start < warm_after_ + Span::ms(300)) most = kind_[host.kind].part * able(start);
-    if (now_ - born_ < warm_after_ && anew_part_ < 1)
+    if (now_ - born_ < warm_after_ && fair_part() < 1)
       most = std::min(most, unsure_ * able(born_) * fair_part());
     if (most >= 1e9) return true;
     const auto sent = static_cast<double>(host.forwards.from(now_ - cold_window_));
@@ -988,8 +974,6 @@
     if (one_way_ && hit.key != 0) {
       const std::uint32_t pin = pins_.find(hit.key);
       if (pin != IndexMap::kNone && pin > gone_back_ && host.build < pin) return false;
-      // Guards against a forward that waits for its connection while the new build answers for its key.
-      if (key_out_ != kNoBuild && host.build != key_out_) return false;
       if (pin == IndexMap::kNone && pins_.size() >= kMostPins && on_trial(host.build)) return false;
     }
     if (on_trial(host.build) && !exposure_allows(hit, host.build, share)) return false;
@@ -1034,7 +1018,7 @@
   unsigned zone_, kinds_, max_forwards_;
   bool must_ask_, may_cancel_, may_copy_, by_group_, one_way_, clocked_, rolling_;
   Span longest_retry_after_, cold_window_, warm_after_, tick_, window_, vote_life_, vote_round_, back_round_;
-  double fair_per_s_ = 0, unsure_ = 1;
+  double fair_per_s_ = 0, unsure_ = 1, usual_part_ = 0;  // hits a cold window at a host, as it has long been
   double start_capacity_, further_most_, anew_part_, crowd_, sure_, pace_, cross_price_, over_share_worth_,
       first_cap_, spare_, reported_share_;
   std::vector<double> rings_;
@@ -1050,7 +1034,7 @@
   bool many_out_ = false;
   // The build on trial.
   bool told_ = false;
-  BuildId build_ = 0, gone_back_ = 0, key_out_ = kNoBuild;
+  BuildId build_ = 0, gone_back_ = 0;
   unsigned stage_ = 0;
   Phase phase_ = Phase::kReleased;
   double cap_ = 0, share_ = kFirstShare;
--- a/src/routing/host_pools.cpp
+++ b/src/routing/host_pools.cpp
@@ -165,6 +165,10 @@
 
 void HostPools::cancel(Link* link) { link->finish(link->unless_unwritten(Result::kCancelled), false); }
 
+void HostPools::recall(Link* link) {
+  if (link->waiting() && !link->written()) link->finish(Result::kMoot, false);
+}
+
 void HostPools::remove(Link* link) {
   auto& idle = hosts_[link->host()].idle;
   idle.erase(std::remove(idle.begin(), idle.end(), link), idle.end());
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -94,7 +94,7 @@
       discovery_(
           loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
           [this](const char* why) { list_lost(why); }),
-      ids_(limits.ids), stop_(loop, [this] { check_wound_down(); }),
+      one_way_(terms.one_way), ids_(limits.ids), stop_(loop, [this] { check_wound_down(); }),
       refused_(loop, [this] { tell_refused(); }), module_(make_router(terms, site.seed, *this)) {
   for (const PathGroup& g : terms.path_groups) repeats_.push_back(g.repeats);
 }
@@ -186,6 +186,7 @@
   }
   const unsigned customer =
       who.caller.empty() ? index_of(door_.customers, head.find("X-Account").value_or("")) : who.customer;
+  hit.key = one_way_ ? key : 0;
   tell([&](Router& r) { r.taken(place, group, customer, key, give_up_at, hint); });
 }
 
@@ -394,11 +395,24 @@
       terminal = true;
     }
   }
+  if (result == Result::kOk && hit.key != 0) recall_earlier(hit.key, hosts_[host].build);
   const auto told = report(answer);
   tell([&](Router& r) { r.ended(id, leg, host, result, took, terminal, told); });
   drop_if_over(id);
 }
 
+// Guards against a key that goes back: a forward at an earlier build may still wait for its connection when a
+// newer one answers for its key, and would arrive after that. It has never run, and is decided anew.
+void Service::recall_earlier(std::uint64_t key, double build) {
+  for (HitId id = 0; id < hits_.places(); ++id) {
+    const Hit& hit = hits_[id];
+    if (!hit.live || hit.key != key) continue;
+    for (const Leg& leg : hit.legs) {
+      if (leg.link && hosts_[leg.host].build < build) pools_.recall(leg.link);
+    }
+  }
+}
+
 std::span<const float> Service::report(const http::Messages* answer) {
   const auto load = answer ? answer->head().find("X-Backend-Load") : std::nullopt;
   if (!load) return {};
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -70,6 +70,7 @@
     bool live = false;         // in a place of the slab
     Caller* caller = nullptr;  // none once it is answered or its client has left
     Instant give_up_at;
+    std::uint64_t key = 0;   // where keys are one-way
     std::string head, body;  // of each forward, but for the time left
     std::vector<Leg> legs;
     unsigned out = 0;
@@ -108,6 +109,7 @@
   void came(Caller& caller, http::Messages& request);
   void left(Caller& caller);
   void forward_ended(HitId id, unsigned leg, Result result, const http::Messages* answer);
+  void recall_earlier(std::uint64_t key, double build);
   void listed(bool whole, const Json& entries);
   void list_entry(const Json& entry);
   void forget_hosts();
@@ -143,6 +145,7 @@
   std::unique_ptr<Desk> desk_;
   std::vector<std::unique_ptr<Desk>> retired_;  // of former addresses, until their votes are answered
   Slab<Hit> hits_;
+  bool one_way_;
   Ids ids_;
   unsigned in_hand_ = 0;
   std::map<std::string, HostIndex, std::less<>> indices_;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -320,6 +320,31 @@
   EXPECT_TRUE(hosts_[0].asked(1500));
 }
 
+// An attempt counts when its last byte has come: one that still waits for its connection would take the key
+// back.
+TEST_F(RouterTest, AForwardNotYetWrittenIsRecalledWhenANewerBuildAnswersForItsKey) {
+  terms_.one_way = true;
+  terms_.drain_grace = Span::s(6);
+  limits_.connect = Span::s(3);
+  FullDoor slow;
+  begin(list(entry(1, "up", 2), 41, true));
+  Stream d = discovery_.take(), first = client(), second = client();
+  first.say(get(3500, "X-Session-Key: k\r\n"));
+  Stream h = hosts_[1].take();
+  ASSERT_FALSE(h.message().empty());
+  d.say("HTTP/1.1 200 OK\r\n\r\n" +
+        list(entry(0, "up", 1, slow.address()) + "," + entry(1, "draining", 2), 42) + "\n");
+  usleep(50000);
+  second.say(get(3500, "X-Session-Key: k\r\n"));
+  usleep(50000);
+  h.say(kOk);
+  ASSERT_EQ(status_of(first.message()), 200U);
+  int written = 0;  // the door opens: those that filled it first, then whoever still tries
+  for (Stream s = slow.take(1500); s.fd >= 0; s = slow.take(1500)) written += !s.message(100).empty();
+  EXPECT_EQ(written, 0);
+  EXPECT_EQ(status_of(second.message()), 503U);
+}
+
 // Where the settings say that the list comes by itself, on sockets it does not.
 TEST_F(RouterTest, TheListIsWatchedWhereTheSettingsDoNotAskForIt) {
   terms_.must_ask = false;
