--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1018,7 +1018,7 @@
   unsigned zone_, kinds_, max_forwards_;
   bool must_ask_, may_cancel_, may_copy_, by_group_, one_way_, clocked_, rolling_;
   Span longest_retry_after_, cold_window_, warm_after_, tick_, window_, vote_life_, vote_round_, back_round_;
-  double fair_per_s_ = 0, unsure_ = 1, usual_part_ = 0;  // hits a cold window at a host, as it has long been
+  double fair_per_s_ = 0, unsure_ = 1;
   double start_capacity_, further_most_, anew_part_, crowd_, sure_, pace_, cross_price_, over_share_worth_,
       first_cap_, spare_, reported_share_;
   std::vector<double> rings_;
