A recalled forward that is called off as well ends once: no use after free

Found in a last read, shown by a test under the address sanitizer (heap-use-after-free): where copies are allowed, a hit's copy at the newer build answers, its fellow at the earlier build is recalled, and the module calls that one off in the same event. At fault: Service::recall_earlier left the leg's link standing until the recall was told. Now HostPools::recall says whether it has ended the forward, and the link goes at once.

--- a/src/routing/host_pools.cpp
+++ b/src/routing/host_pools.cpp
@@ -165,8 +165,10 @@
 
 void HostPools::cancel(Link* link) { link->finish(link->unless_unwritten(Result::kCancelled), false); }
 
-void HostPools::recall(Link* link) {
-  if (link->waiting() && !link->written()) link->finish(Result::kMoot, false);
+bool HostPools::recall(Link* link) {
+  if (link->written()) return false;
+  link->finish(Result::kMoot, false);
+  return true;
 }
 
 void HostPools::remove(Link* link) {
--- a/src/routing/host_pools.hpp
+++ b/src/routing/host_pools.hpp
@@ -31,9 +31,9 @@
   // Never calls `next` before it returns. The link, for `cancel`, stands until then; it may be null.
   Link* send(HostIndex host, const std::string& bytes, Instant until, Next next);
   void cancel(Link* link);  // `next` is told after this returns
-  // Ends a forward that is not written whole as moot: it has never run. `next` is told after this returns,
-  // or, where it is too late, as if nothing had been asked.
-  void recall(Link* link);
+  // Ends a forward that is not written whole as moot, since it has never run: `next` is told after this
+  // returns, and the link must not be named again. False, and nothing done, where it is too late.
+  bool recall(Link* link);
 
  private:
   struct Host {
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -405,10 +405,11 @@
 // newer one answers for its key, and would arrive after that. It has never run, and is decided anew.
 void Service::recall_earlier(std::uint64_t key, double build) {
   for (HitId id = 0; id < hits_.places(); ++id) {
-    const Hit& hit = hits_[id];
+    Hit& hit = hits_[id];
     if (!hit.live || hit.key != key) continue;
-    for (const Leg& leg : hit.legs) {
-      if (leg.link && hosts_[leg.host].build < build) pools_.recall(leg.link);
+    for (Leg& leg : hit.legs) {
+      const bool earlier = leg.link && hosts_[leg.host].build < build;
+      if (earlier && pools_.recall(leg.link)) leg.link = nullptr;  // it may be called off before it has ended
     }
   }
 }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -345,6 +345,26 @@
   EXPECT_EQ(status_of(second.message()), 503U);
 }
 
+// The copy answers: its fellow that still waits is recalled, and then called off by the module as well.
+TEST_F(RouterTest, AForwardRecalledAndCalledOffAtOnceEndsOnce) {
+  terms_.one_way = terms_.may_copy = true;
+  terms_.drain_grace = Span::s(6);
+  limits_.connect = Span::s(3);
+  const FullDoor slow;
+  begin(list(entry(0, "up", 1, slow.address()), 41, true));
+  Stream d = discovery_.take(), c = client();
+  c.say(get(1800, "X-Session-Key: k\r\n"));
+  usleep(50000);
+  d.say("HTTP/1.1 200 OK\r\n\r\n" + list(entry(1, "up", 2), 42) + "\n");
+  Stream h = hosts_[1].take();
+  ASSERT_FALSE(h.message().empty());
+  h.say(kOk);
+  ASSERT_EQ(status_of(c.message()), 200U);
+  c.say(get(1500, "X-Session-Key: k\r\n"));  // all is well: the next one goes to the new build
+  usleep(20000);
+  EXPECT_FALSE((h.held.empty() && h.message(300).empty() && !hosts_[1].asked(300)));
+}
+
 // Where the settings say that the list comes by itself, on sockets it does not.
 TEST_F(RouterTest, TheListIsWatchedWhereTheSettingsDoNotAskForIt) {
   terms_.must_ask = false;
