The list is asked for again within 6 s: a change counts as told by then, had or not

Routers whose watch ended as discovery went down, or that were started anew, had a list again only 12 to 20 s after discovery was back ("watch stands again, tries 4" at 40 s); 149 hosts drained at 22.2 s, and hits went to them at 31.2 s.

Change: after the first, quick call each further one comes 1.5 to 4.5 s later, by lot. Waits of 0.3, 0.75, 1.5, 3 s were tried and undone: the restarted routers' calls filled discovery's queue and none was served for 4 s (trial with each call logged). A watch that stood and falls silent (2.5 s; a line comes every 2 s) is begun anew at once, and once more 1.5 s later; only whole lines keep it. An older list after a newer one is no news; a watch that begins older is asked once more and then believed.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -39,7 +39,12 @@
   Span id_kept = Span::s(5);          // past the client timeout, in which no other may come with a hit's id
   Span overdue = Span::ms(20);        // past the client timeout: by then the module has long answered
   Span answer_written = Span::s(5);   // a client that does not read its answer
-  Span discovery_silence = Span::ms(4500);  // a line at least comes every 2 s
+  // A line at least comes every 2 s; what a silent watch misses counts as told 6 s after it fell silent. So
+  // another is begun a quarter late, and once more if that one is silent, too.
+  Span discovery_silence = Span::ms(2500);
+  Span discovery_first_line = Span::ms(1500);  // of a watch begun in place of a silent one
+  Span discovery_call = Span::ms(4500);        // of any other: discovery may let a call wait for its turn
+  Span first_list = Span::s(2);                // after the start; ready then without
   Span desk_connect = Span::s(1);
   Span desk_silence = Span::ms(3500);  // a ping comes every second
   Span desk_answer = Span::s(2);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -42,7 +42,7 @@
 constexpr double kGoodFails = 0.02, kSickMore = 0.4, kEject = 5, kTrust = -2;
 constexpr Span kFirstRest = Span::s(1), kLongestRest = Span::s(8);
 constexpr double kMostEjected = 0.4;  // beyond this part of every zone's the cause is not the hosts
-constexpr Span kFirstAskWait = Span::ms(300), kLongestAsk = Span::s(10);
+constexpr Span kFirstAskWait = Span::ms(300), kLongestAsk = Span::s(3);
 constexpr Span kBeat = Span::ms(20), kJudgeEvery = Span::ms(250), kFinish = Span::ms(26);
 constexpr double kFurtherPart = 0.2, kFurtherMost = 60;  // the budget of few routers in all
 constexpr double kCopyCost = 4;                          // of that budget: a copy is work done twice
@@ -237,12 +237,12 @@
     }
   }
 
-  // The list could not be had: the old one stands; ask again, later each time and not all routers at once.
-  // Guards against calls that only wait to fail: discovery bears one call of each router within the time that
-  // the settings give for asking. A watch that was lost alone is had again at once.
+  // The list could not be had: the old one stands; ask again, not all routers at once, and soon enough that a
+  // change is had before it counts as told (6 s). Guards against calls that only wait to fail, and cost
+  // discovery as much as those that it serves. A watch that was lost alone is had again at once.
   void list_failed() override {
     sink_.wake(ask_wait_ * (0.5 + chance_.unit()), kAskToken);
-    ask_wait_ = std::clamp(ask_wait_ * 2, longest_ask_ * 0.25, longest_ask_);
+    ask_wait_ = longest_ask_;
   }
 
   void stage_told(BuildId build, unsigned stage, Phase phase, bool answers_vote, Answer answer, double cap,
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -16,17 +16,21 @@
 class Discovery : public Connection::Owner {
  public:
   using Told = std::function<void(bool whole, const Json& entries)>;
-  using Failed = std::function<void(const char* why)>;
+  // `again`: another watch has been begun in its place already; else `follow` has to be called.
+  using Failed = std::function<void(const char* why, bool again)>;
   Discovery(Loop& loop, const Limits& limits, std::string address, Told told, Failed failed);
   // A list in discovery's form, from the watch or from elsewhere; false where it is none.
   bool take(std::string_view line);
-  void follow();  // begins a watch unless one stands; `failed` says once that it ended
+  void follow();  // begins a watch unless one stands; `failed` says each time that one ended
   // Discovery is elsewhere from now on: a watch that stands is begun anew there, from the last list had.
   void move_to(const std::string& address);
 
  private:
   void bytes_came() override;
   void ended() override { fail("ended"); }
+  void begin(Span first_line);  // opens a connection and asks; the first line has to come within that
+  bool line(std::string_view text);
+  void silent();
   void fail(const char* why);
   void drop();
   Loop& loop_;
@@ -36,6 +40,9 @@
   Failed failed_;
   std::uint64_t version_ = 0, doubted_ = UINT64_MAX;
   bool any_ = false;        // a list was told
+  bool stands_ = false;     // the watch at hand has brought a list or an empty line
+  bool older_ = false;      // a whole list older than the one had came first on a watch, and was doubted
+  unsigned in_place_ = 0;   // watches begun in place of one that fell silent, with no line since
   bool following_ = false;  // has been asked to
   std::unique_ptr<Connection> connection_;
   http::Head head_;
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -93,9 +93,10 @@
       pools_(loop, limits, std::min(limits.connect, terms.drain_grace * 0.5)),
       discovery_(
           loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
-          [this](const char* why) { list_lost(why); }),
-      one_way_(terms.one_way), ids_(limits.ids), stop_(loop, [this] { check_wound_down(); }),
-      refused_(loop, [this] { tell_refused(); }), module_(make_router(terms, site.seed, *this)) {
+          [this](const char* why, bool again) { list_lost(why, again); }),
+      one_way_(terms.one_way), ids_(limits.ids), listed_ready_(loop, [this] { now_ready(); }),
+      stop_(loop, [this] { check_wound_down(); }), refused_(loop, [this] { tell_refused(); }),
+      module_(make_router(terms, site.seed, *this)) {
   for (const PathGroup& g : terms.path_groups) repeats_.push_back(g.repeats);
 }
 
@@ -511,9 +512,9 @@
   });
 }
 
-void Service::list_lost(const char* why) {
+void Service::list_lost(const char* why, bool again) {
   if (watch_tries_++ == 0) note_(std::string("discovery: watch ") + why);
-  tell([](Router& r) { r.list_failed(); });
+  if (!again) tell([](Router& r) { r.list_failed(); });
 }
 
 // ---- The release desk ----
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -113,7 +113,7 @@
   void listed(bool whole, const Json& entries);
   void list_entry(const Json& entry);
   void forget_hosts();
-  void list_lost(const char* why);
+  void list_lost(const char* why, bool again);
   bool desk_said(const std::string& method, const Json& params);
   bool stage(const Json& state, bool answers_vote);
   bool vote_answered(Answer answer, const Json* state);
