Ends that cross nothing: last answers close connections, idle ones end in order, the door last

By reading: after SIGTERM idle connections were closed at once, with requests on their way; one past the bound on idle clients was closed between two requests; leaving held lingering connections for done, so that an answer still unread could be reset; a full table left who waited in the backlog to be reset with the door; a half request met a bare close; a client that left behind more than 16 KiB unread was not seen to leave, and its hit was sent on.

Change (src/routing/callers.cpp, service.cpp, serve.cpp): - Kept connections stay open after SIGTERM, for one more answer that says `Connection: close`; what is still idle as the door closes is ended in order (end of sending, then what crosses is read and dropped), counted in the log. - Past the bound on idle clients each answer is the last of its connection; none is closed between requests for it. - The door closes after 0.1 s with nobody new and with nobody outside a full table; the program leaves once the last client has closed, or at the latest after answering whoever still waits. - What comes after SIGTERM has its answer before the machine may kill the process (settings' longest timeout, 3 s at most, and 0.7 s); SIGHUP while stopping changes nothing; a callback that fails no longer ends the look at signals. - Ready only with the list as it stands, or after 2 s without: what discovery told the machine counts from a process' first moment, and the configuration's list may be old. - Ids are remembered by account; `X-Account` twice is refused.

Tests: tests/crossings_test.cpp forces each order.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -50,6 +50,10 @@
   Span desk_answer = Span::s(2);
   Span retry_first = Span::ms(100), retry_longest = Span::s(2);  // of the release desk's connection
   Span stop_accepting = Span::ms(650);  // after the signal to stop new connections go on coming for a while
+  Span door_quiet = Span::ms(100);      // with none for so long the door may close
+  Span killed_soonest =
+      Span::ms(3700);                 // after the signal: the longest client timeout, 3 s at most, and 0.7 s
+  Span killed_early = Span::ms(100);  // by then what came after the signal has its answer, and it is read
   Span stop_at_latest =
       Span::ms(3600);  // then the program ends whatever is left; more for longer client timeouts
 };
--- a/src/program/environment.cpp
+++ b/src/program/environment.cpp
@@ -104,9 +104,13 @@
   limits.connect = door.connect;
   limits.host_idle = std::min(limits.host_idle, door.host_idle * 0.8);
   limits.desk_answer = terms.answer_wait;
+  Span longest;
   for (const PathGroup& g : terms.path_groups) {
-    limits.stop_at_latest = std::max(limits.stop_at_latest, g.client_timeout + Span::ms(600));
+    limits.stop_at_latest =
+        std::max(limits.stop_at_latest, g.client_timeout + limits.stop_accepting + Span::ms(250));
+    longest = std::max(longest, g.client_timeout);
   }
+  limits.killed_soonest = std::min(longest, Span::s(3)) + Span::ms(700);
   return limits;
 }
 
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -72,17 +72,18 @@
                terms.path_groups.size(), terms.me, terms.routers);
 
   Timer signals(loop, [&] {
-    if (reading_asked != 0) {
-      reading_asked = 0;
-      read_again(start, service);
-      if (guardian) guardian->reread();
-    }
+    signals.in(Span::ms(20));  // first: what a signal asks for may fail, and the next must still be heard
     if (stop_asked != 0) {
       stop_asked = 0;
       spdlog::info("told to stop");
       service.wind_down([&] { loop.stop(); });
     }
-    signals.in(Span::ms(20));
+    if (reading_asked != 0) {
+      reading_asked = 0;
+      if (service.winding_down()) return spdlog::info("configuration not read again: told to stop");
+      read_again(start, service);
+      if (guardian) guardian->reread();
+    }
   });
   signals.in(Span());
   loop.run();
--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -22,7 +22,15 @@
 }
 
 void Caller::bytes_came() {
-  if (at_ != At::kReading) return;  // the next request waits for its turn
+  if (at_ != At::kReading) {  // the next request waits for its turn
+    // Guards against a client that leaves behind more than is held unread: its close would not be seen, and
+    // its hit sent on. What comes after the answer is not served, as the answer says.
+    if (at_ == At::kAnswering && connection_.unread().size() >= callers_.limits_.unread) {
+      last_ = true;
+      connection_.discard();
+    }
+    return;
+  }
   std::string_view bytes = connection_.unread();
   if (bytes.empty()) return;
   const std::size_t had = bytes.size();
@@ -59,7 +67,7 @@
   if (at_ != At::kAnswering) return;
   at_ = At::kWriting;
   bad_ = status >= 400 && status < 500;
-  last_ = last_ || callers_.winding_down_;
+  last_ = last_ || callers_.winding_down_ || callers_.enough_stand();
   std::string bytes = "HTTP/1.1 " + std::to_string(status) + " ";
   bytes.append(http::reason(status)).append("\r\n").append(fields);
   if (last_) bytes += "Connection: close\r\n";
@@ -94,8 +102,18 @@
   timer_.at(since_);  // what came early is read after the call at hand
 }
 
+void Caller::part() {
+  timer_.off();
+  parted_ = true;
+  ++callers_.parted_;
+  since_ = callers_.loop_.now();
+  at_ = At::kLingering;
+  connection_.finish_writing();
+  timer_.in(callers_.limits_.linger);
+  connection_.discard();
+}
+
 void Caller::wait_for_more() {
-  callers_.trim();
   const Limits& limits = callers_.limits_;
   timer_.at(since_ + (callers_.crowded() ? limits.crowded_idle : limits.client_idle));
 }
@@ -118,8 +136,9 @@
     return answer_plain(408);
   }
   if (at_ == At::kAnswering) return callers_.overdue_(*this);
-  if (at_ == At::kReading && !connection_.quiet()) return timer_.in(callers_.limits_.settle);  // it comes
-  callers_.remove(this);
+  if (at_ != At::kReading) return callers_.remove(this);
+  if (!connection_.quiet()) return timer_.in(callers_.limits_.settle);  // it comes
+  part();
 }
 
 Callers::Callers(Loop& loop, const Limits& limits, const std::string& address, Came came, Left left,
@@ -142,6 +161,7 @@
 
 void Callers::accepted(int fd, bool veiled) {
   if (fd < 0) return pause();
+  last_came_ = loop_.now();
   std::unique_ptr<Veil> veil;
   if (veiled && !(veil = veil_(fd))) return void(::close(fd));
   callers_.push_back(std::make_unique<Caller>(*this, fd, std::move(veil), callers_.size()));
@@ -154,16 +174,11 @@
   if (!close_idlest()) pause();
 }
 
-void Callers::trim() {
-  Caller* idlest = nullptr;
-  std::size_t idle = 0;
-  for (const auto& c : callers_) {
-    if (c->at_ != Caller::At::kReading || !c->asked_ || c->requests_.begun()) continue;
-    ++idle;
-    if (!idlest || c->since_ < idlest->since_) idlest = c.get();
-  }
-  if (idle <= limits_.idle_clients || loop_.now() - idlest->since_ < limits_.settle) return;
-  if (idlest->connection_.quiet()) remove(idlest);
+bool Callers::enough_stand() const {
+  if (callers_.size() <= limits_.idle_clients) return false;
+  const auto standing =
+      std::count_if(callers_.begin(), callers_.end(), [](const auto& c) { return c->stands(); });
+  return static_cast<std::size_t>(standing) >= limits_.idle_clients;
 }
 
 void Callers::pause() {
@@ -180,8 +195,8 @@
     if (!lingers && !reads && c->at_ != Caller::At::kPausing) continue;
     const bool kept = c->asked_ && reads, begun = reads && c->requests_.begun();
     Span spared = limits_.young;
-    if (begun && (kept || winding_down_)) spared = limits_.half_request;
-    else if (kept) spared = winding_down_ ? Span() : limits_.settle;
+    if (begun && kept) spared = limits_.half_request;
+    else if (kept) spared = limits_.settle;
     if (now - c->since_ < spared) continue;
     const std::pair rank(kept, c->since_);
     if ((idlest && rank >= first) || (!lingers && !c->connection_.quiet())) continue;
@@ -189,12 +204,24 @@
     first = rank;
   }
   if (!idlest) return false;
+  if (idlest->stands()) {  // then nothing else is left that may go
+    for (const auto& c : callers_) {
+      if (c->stands() && now - c->since_ >= limits_.settle && c->connection_.quiet()) c->part();
+    }
+    return false;
+  }
+  if (idlest->at_ == Caller::At::kReading && idlest->requests_.begun()) {
+    idlest->at_ = Caller::At::kAnswering;
+    idlest->last_ = true;
+    idlest->answer_plain(503);
+  }
   remove(idlest);
   return true;
 }
 
 void Callers::remove(Caller* caller) {
   caller->timer_.off();
+  crossed_ += caller->parted_ && caller->connection_.discarded();
   caller->connection_.close();
   const std::size_t place = caller->place_;
   std::swap(callers_[place], callers_.back());
@@ -204,26 +231,27 @@
   pause_doors(false);
 }
 
-void Callers::wind_down() {
-  winding_down_ = true;
-  while (close_idlest()) {
-  }
-}
-
-void Callers::close_door() {
-  if (veiled_) {
-    veiled_->pause(false);
-    veiled_->accept_waiting();
-    veiled_->close();
+// Closing resets who waits to be taken: not while a full table keeps some outside, nor while some still come.
+bool Callers::close_door() {
+  bool none_waits = true;
+  for (Listener* const door : {&listener_, veiled_.get()}) {
+    if (!door) continue;
+    door->pause(false);
+    none_waits = door->accept_waiting() && none_waits;
   }
-  listener_.pause(false);
-  listener_.accept_waiting();
+  if (!none_waits || loop_.now() - last_came_ < limits_.door_quiet) return false;
   listener_.close();
+  if (veiled_) veiled_->close();
+  return true;
 }
 
-bool Callers::all_answered() const {
-  return std::all_of(callers_.begin(), callers_.end(),
-                     [](const auto& c) { return c->at_ == Caller::At::kLingering; });
+void Callers::part_idle() {
+  const Instant now = loop_.now();
+  for (const auto& c : callers_) {
+    const bool reads = c->at_ == Caller::At::kReading && !c->requests_.begun();
+    const bool waited = c->asked_ || now - c->since_ >= limits_.settle;
+    if ((reads || c->at_ == Caller::At::kPausing) && waited && c->connection_.quiet()) c->part();
+  }
 }
 
 }  // namespace ashbeam
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -45,12 +45,15 @@
   void written();
   void wait_for_more();
   void late();
+  bool stands() const { return at_ == At::kReading && asked_ && !requests_.begun(); }  // between requests
+  void part();  // ends it between requests: no more is written, what crosses that is read and dropped
   Callers& callers_;
   std::size_t place_;
   At at_ = At::kReading;
-  bool last_ = false;   // the connection ends after this answer
-  bool asked_ = false;  // has had an answer
-  bool bad_ = false;    // the request at hand was turned away
+  bool last_ = false;    // the connection ends after this answer
+  bool asked_ = false;   // has had an answer
+  bool bad_ = false;     // the request at hand was turned away
+  bool parted_ = false;  // ended between requests
   Instant since_;
   Connection connection_;
   http::Messages requests_;
@@ -68,10 +71,19 @@
   using Veiled = std::function<std::unique_ptr<Veil>(int fd)>;
   void also_listen(const std::string& address, Veiled veil, std::function<Span()> handshake);
   std::uint16_t veiled_port() const { return veiled_ ? veiled_->port() : 0; }
-  // From now on each answer is the last of its connection, and connections between requests are closed.
-  void wind_down();
-  void close_door();          // after all that the machine has accepted is taken
-  bool all_answered() const;  // of those that wind_down has left
+  // From now on each answer is the last of its connection.
+  void wind_down() { winding_down_ = true; }
+  // After all that the machine has accepted is taken and nobody has come for a while; false where not yet.
+  bool close_door();
+  // Ends the connections that stand between requests, and those that never brought one; not those who have
+  // just come: a request is on its way there.
+  void part_idle();
+  // Nobody is left, and each last answer has been read as far as can be seen: leaving resets nothing.
+  bool empty() const { return callers_.empty(); }
+  // Connections ended between requests so far, and those of them that a request crossed: its client sends it
+  // once more on another.
+  std::size_t parted() const { return parted_; }
+  std::size_t crossed() const { return crossed_; }
 
  private:
   friend class Caller;
@@ -79,20 +91,24 @@
   void pause_doors(bool on);
   void remove(Caller* caller);
   void make_room();
-  // Guards against clients that ask once and stay: of those between requests the one idle longest is closed.
-  void trim();
+  // Guards against clients that ask once and stay: as many as may stand between requests do. The answer at
+  // hand is then the last of its connection, which no request can cross.
+  bool enough_stand() const;
   void pause();
   bool full() const { return callers_.size() >= limits_.clients; }
   bool crowded() const { return callers_.size() * 2 >= limits_.clients; }
   // The one that has been idle longest, and long enough, one that never had an answer before one that has.
-  // Guards against clients that hold connections and send nothing, or half a request: whoever keeps to the
-  // protocol sends a whole request at once, so is not met by this, and must not wait outside for the others.
+  // Guards against clients that hold connections and send nothing, or half a request (which is answered 503):
+  // whoever keeps to the protocol sends a whole request at once, so is not met by this, and must not wait
+  // outside for the others. One that stands between requests is parted first and closed at a later look.
   bool close_idlest();
   Loop& loop_;
   const Limits& limits_;
   Came came_;
   Left left_, overdue_;
   bool winding_down_ = false;
+  std::size_t parted_ = 0, crossed_ = 0;
+  Instant last_came_;
   std::uint64_t serials_ = 0;
   std::vector<std::unique_ptr<Caller>> callers_;
   Timer room_;
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -61,7 +61,8 @@
 
 // Is a figure that decisions need missing, or there twice, so that a host might take the other one?
 bool unclear(const http::Head& head, Repeats repeats, std::size_t longest_id) {
-  for (const char* name : {"X-Correlation-Id", "X-Time-Left-Ms", "Idempotency-Key", "X-Session-Key"}) {
+  for (const char* name :
+       {"X-Correlation-Id", "X-Account", "X-Time-Left-Ms", "Idempotency-Key", "X-Session-Key"}) {
     if (head.count(name) > 1) return true;
   }
   const auto id = head.find("X-Correlation-Id").value_or("");
@@ -103,12 +104,20 @@
 Service::~Service() = default;
 
 void Service::start() {
+  listed_ready_.in(limits_.first_list);
   tell([](Router& r) { r.started(); });
   if (!site_.known.empty() && !discovery_.take(site_.known)) note_("known list can't be read");
   if (const auto news = Json::parse(site_.news)) stage(*news, false);
   // On sockets nobody sends the list unasked, whatever the settings say of how it comes elsewhere.
   follow_list();
   open_desk();
+  started_ = true;
+}
+
+// Ready means that it can serve: with the list as it stands now, since what discovery has told the machine
+// counts from a process' first moment, and the list in the configuration may be old.
+void Service::now_ready() {
+  listed_ready_.off();
   ready_ = true;
 }
 
@@ -148,7 +157,10 @@
   calling::Ticket ticket;
   if (gate_ && !let_in(caller, who, group, ticket)) return;
   // Guards against a hit run twice since another client came with its id, during it or soon after.
-  if (!ids_.take(*head.find("X-Correlation-Id"), now, give_up_at + limits_.id_kept)) {
+  // By account: what one customer sends says nothing of another's.
+  std::string id(head.find("X-Account").value_or(""));
+  id.append(1, '\n').append(*head.find("X-Correlation-Id"));
+  if (!ids_.take(id, now, give_up_at + limits_.id_kept)) {
     if (gate_) gate_->ended(ticket);
     return caller.answer_plain(409);
   }
@@ -466,6 +478,7 @@
   forget_hosts();
   if (watch_tries_ > 0) note_("discovery: watch stands again, tries " + std::to_string(watch_tries_));
   watch_tries_ = 0;
+  if (started_ && !ready_) now_ready();
 }
 
 // Guards against a fleet whose ids are always new: the places of hosts long gone are used again.
@@ -618,12 +631,22 @@
   stop_.in(limits_.stop_accepting);
 }
 
+// Connections between requests stay open until the door closes: clients go on using them, and new ones still
+// come here. Then they are ended, and the program leaves once the last answer has been read.
 void Service::check_wound_down() {
-  callers_.close_door();
-  callers_.wind_down();
-  const bool over = in_hand_ == 0 && callers_.all_answered();
-  if (over || loop_.now() - stop_at_ > limits_.stop_at_latest) return wound_down_();
-  stop_.in(Span::ms(20));
+  const bool closed = callers_.close_door();
+  callers_.part_idle();
+  const Span since = loop_.now() - stop_at_;
+  if (since > limits_.stop_at_latest) {  // whoever still waits gets an answer, and a moment to read it
+    for (HitId id = 0; id < hits_.places(); ++id) {
+      if (hits_[id].live && hits_[id].caller) overdue(id);
+    }
+  }
+  const bool over = closed && in_hand_ == 0 && callers_.empty();
+  if (!over && since <= limits_.stop_at_latest + limits_.settle) return stop_.in(Span::ms(20));
+  note_("idle clients let go " + std::to_string(callers_.parted()) + ", crossed by a request " +
+        std::to_string(callers_.crossed()));
+  wound_down_();
 }
 
 }  // namespace ashbeam
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -53,6 +53,7 @@
   std::uint16_t port() const { return callers_.port(); }
   std::uint16_t tls_port() const { return callers_.veiled_port(); }
   std::size_t host_places() const { return hosts_.size(); }
+  bool winding_down() const { return winding_down_; }
 
  private:
   struct Leg {
@@ -131,6 +132,7 @@
   void drop_if_over(HitId id);
   std::span<const float> report(const http::Messages* answer);
   void check_wound_down();
+  void now_ready();
 
   Loop& loop_;
   const Limits& limits_;
@@ -155,7 +157,8 @@
   std::map<std::uint64_t, std::unique_ptr<Timer>> wakes_;
   unsigned watch_tries_ = 0;  // since it was lost
   std::string doubted_;       // news of an unknown kind, met once
-  bool ready_ = false, winding_down_ = false;
+  bool started_ = false, ready_ = false, winding_down_ = false;
+  Timer listed_ready_;
   Instant stop_at_;
   Timer stop_;
   std::function<void()> wound_down_;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -172,6 +172,7 @@
   if (state_ != State::kOpen) return;
   if (discarding_) {  // MSG_TRUNC: not even copied
     const auto dropped = ::recv(socket_.impl()->sockfd(), nullptr, limits_.discard_at_once, MSG_TRUNC);
+    discarded_ = discarded_ || dropped > 0;
     if (dropped == 0 || (dropped < 0 && errno != EAGAIN && errno != EINTR)) end();
     return;
   }
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -24,14 +24,15 @@
   watched_ = !on;
 }
 
-void Listener::accept_waiting() {
+bool Listener::accept_waiting() {
   while (!closed_ && watched_) {
     const int fd = ::accept4(socket_.impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0 && errno == ECONNABORTED) continue;
-    if (fd < 0 && (errno == EAGAIN || errno == EINTR)) return;
+    if (fd < 0 && (errno == ECONNABORTED || errno == EINTR)) continue;
+    if (fd < 0 && errno == EAGAIN) return true;
     came_(fd);
-    if (fd < 0) return;
+    if (fd < 0) return false;
   }
+  return closed_;
 }
 
 void Listener::close() {
--- a/src/transport/listener.hpp
+++ b/src/transport/listener.hpp
@@ -20,7 +20,8 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
   void pause(bool on);
-  void accept_waiting();  // all that the machine has accepted already
+  // Hands on all that the machine has accepted already; false where it had to pause before the last of them.
+  bool accept_waiting();
   void close();
   std::uint16_t port() const { return socket_.address().port(); }
 
--- /dev/null
+++ b/tests/crossings_test.cpp
@@ -0,0 +1,338 @@
+// What crosses what: an answer, a close, a signal or a line of the list that comes between two steps of the
+// router. The test forces each order; docs/races.md has the whole table.
+#include "router_world.hpp"
+
+namespace ashbeam {
+namespace {
+
+const std::string kReady = "GET /health/ready HTTP/1.1\r\n\r\n";
+const std::string kWatch = "HTTP/1.1 200 OK\r\n\r\n";  // its body goes on until the end
+
+class CrossingTest : public RouterTest {
+ protected:
+  void stop() {  // returns once the router has been told
+    stopping_ = true;
+    run_on_loop([] {});
+  }
+  bool noted(const std::string& line) {  // after the thread has ended
+    return std::any_of(notes_.begin(), notes_.end(),
+                       [&](const auto& n) { return n.find(line) != std::string::npos; });
+  }
+  // The hosts that new hits reach: one connection each, since none is answered.
+  std::vector<bool> reached(int hits) {
+    std::vector<bool> at(kHosts);
+    std::vector<Stream> held;
+    for (int i = 0; i < hits; ++i) {
+      held.push_back(client());
+      held.back().say(get(300));
+    }
+    for (int i = 0; i < kHosts; ++i) {
+      while (hosts_[i].asked(60)) {
+        Stream h = hosts_[i].take();
+        at[static_cast<std::size_t>(i)] = !h.message(200).empty() || at[static_cast<std::size_t>(i)];
+      }
+    }
+    return at;
+  }
+};
+
+// ---- The list ----
+
+TEST_F(CrossingTest, AWatchThatFallsSilentIsBegunAnewAtOnceAndOnceMoreIfThatOneIsSilent) {
+  limits_.discovery_silence = Span::ms(200);
+  limits_.discovery_first_line = Span::ms(150);
+  begin(all_hosts());
+  Stream d = discovery_.take();
+  d.say(kWatch + "\n");
+  const Instant from = loop_.now();
+  EXPECT_FALSE(d.message().empty());
+  Stream second = discovery_.take(), third = discovery_.take();
+  EXPECT_LT(loop_.now() - from, Span::ms(600));  // nothing but the two silences
+  EXPECT_FALSE(second.message().empty());
+  EXPECT_TRUE(d.ended(0) && second.ended(0));
+  EXPECT_FALSE(third.message().empty());
+  third.say(kWatch + list(entry(0, "draining"), 42) + "\n");
+  for (int i = 0; i < 4; ++i) usleep(100000), third.say("\n");  // whole lines, empty ones too, keep it
+  EXPECT_FALSE(third.ended(0));
+  EXPECT_EQ(reached(12), (std::vector<bool>{false, true, true}));
+  stop();
+  thread_.join();
+  EXPECT_TRUE(noted("discovery: watch silent") && noted("discovery: watch stands again, tries 2"));
+}
+
+TEST_F(CrossingTest, AListThatDripsAndNeverEndsALineIsNoSignOfLife) {
+  limits_.discovery_silence = Span::ms(200);
+  begin(all_hosts());
+  Stream d = discovery_.take();
+  d.say(kWatch + "\n");
+  const std::string drips = list(entry(0, "draining"), 42);
+  int said = 0;
+  for (; said < 30 && !discovery_.asked(20); ++said) d.say(drips.substr(static_cast<std::size_t>(said), 1));
+  EXPECT_LT(said, 25);
+  Stream again = discovery_.take();
+  EXPECT_NE(again.message().find("since=41"), std::string::npos);  // nothing of the half line counts
+  EXPECT_EQ(reached(12), (std::vector<bool>{true, true, true}));
+}
+
+TEST_F(CrossingTest, AnOlderListAfterANewerOneIsNoNews) {
+  begin(all_hosts());
+  Stream d = discovery_.take();
+  d.say(kWatch + list(entry(0, "draining"), 43) + "\n" + list(entry(0), 42) + "\n" + all_hosts() + "\n");
+  EXPECT_EQ(reached(12), (std::vector<bool>{false, true, true}));
+  EXPECT_FALSE(discovery_.asked(0));
+}
+
+TEST_F(CrossingTest, AWatchThatBeginsOlderIsAskedOnceMoreAndThenBelieved) {
+  terms_.ask_within = Span::ms(200);
+  begin(all_hosts());
+  const std::string whole = list(entry(1), 7, true) + "\n";
+  Stream first = discovery_.take();
+  EXPECT_NE(first.message().find("since=41"), std::string::npos);
+  first.say(kWatch + list(entry(0, "draining"), 6) + "\n");  // changes since what it does not know
+  Stream second = discovery_.take();
+  EXPECT_EQ(second.message().find("since="), std::string::npos);
+  second.say(kWatch + whole);
+  EXPECT_EQ(reached(12), (std::vector<bool>{false, true, false}));
+  second.shut();
+  Stream third = discovery_.take();
+  EXPECT_NE(third.message().find("since=7"), std::string::npos);
+  third.say(kWatch + list(entry(2), 3, true) + "\n");
+  Stream fourth = discovery_.take();
+  EXPECT_FALSE(fourth.message().empty());
+  fourth.say(kWatch + list(entry(2), 3, true) + "\n");
+  usleep(20000);
+  EXPECT_EQ(reached(12), (std::vector<bool>{false, false, true}));
+}
+
+TEST_F(CrossingTest, AWholeListHalfHadWhenItsWatchBreaksCountsForNothing) {
+  begin(all_hosts());
+  Stream d = discovery_.take();
+  const std::string whole = list(entry(2), 50, true);
+  d.say(kWatch + whole.substr(0, whole.size() - 4));
+  d.shut();
+  Stream again = discovery_.take();
+  EXPECT_NE(again.message().find("since=41"), std::string::npos);
+  EXPECT_EQ(reached(12), (std::vector<bool>{true, true, true}));
+}
+
+TEST_F(CrossingTest, ItIsReadyOnceItHasTheListAsItStands) {
+  limits_.first_list = Span::s(30);
+  begin(all_hosts());
+  EXPECT_EQ(status_of(ask(kReady)), 503U);
+  Stream d = discovery_.take();
+  d.say(kWatch + list(entry(0, "draining"), 42) + "\n");
+  usleep(50000);
+  EXPECT_EQ(status_of(ask(kReady)), 200U);
+  EXPECT_FALSE(reached(12)[0]);
+}
+
+TEST_F(CrossingTest, ItIsReadyAfterAWhileWithNoList) {
+  limits_.first_list = Span::ms(300);
+  begin(all_hosts());
+  Stream d = discovery_.take();
+  EXPECT_EQ(status_of(ask(kReady)), 503U);
+  usleep(400000);
+  EXPECT_EQ(status_of(ask(kReady)), 200U);
+  EXPECT_TRUE(reached(12)[0]);
+}
+
+// ---- Forwards ----
+
+TEST_F(CrossingTest, AForwardTellsTheTimeThatIsLeftWhenItsConnectionIsThere) {
+  limits_.connect = Span::s(4);
+  terms_.drain_grace = Span::s(20);
+  FullDoor late;  // its connections come up once there is room, when the machine asks a second time
+  begin(list(entry(0, "up", 1, late.address()), 41, true));
+  Stream c = client();
+  c.say(get(3000));
+  usleep(300000);
+  const Instant asked = loop_.now() - Span::ms(300);
+  ::listen(late.fd, 64);
+  late.filling.clear();  // those accepted before it end at once
+  std::string got;
+  Stream h(-1);
+  while (got.empty() && late.asked(3000)) h = late.take(), got = h.message(1500);
+  ASSERT_FALSE(got.empty());
+  const auto told = std::stod(got.substr(got.find("X-Time-Left-Ms: ") + 16));
+  EXPECT_LT(told, 3000 - (loop_.now() - asked).ms() + 150);
+  h.say(kOk);
+  EXPECT_EQ(status_of(c.message()), 200U);
+}
+
+// ---- Clients ----
+
+TEST_F(CrossingTest, AClientThatLeavesBehindALotUnreadIsSeenToLeave) {
+  begin(list(entry(0), 41, true));
+  Stream c = client();
+  c.say(get(3000));
+  Stream h = forward();
+  ASSERT_FALSE(h.message().empty());
+  c.say(std::string(200000, 'x'));
+  usleep(20000);
+  c.shut();
+  EXPECT_TRUE(h.ended(300));  // called off long before its time
+}
+
+TEST_F(CrossingTest, WhoSendsMoreThanIsHeldUnreadIsToldThatItsAnswerIsTheLast) {
+  begin(list(entry(0), 41, true));
+  Stream c = client();
+  c.say(get(3000));
+  Stream h = forward();
+  ASSERT_FALSE(h.message().empty());
+  for (int i = 0; i < 700; ++i) c.say(kReady);
+  for (int i = 0; i < 100 && c.fill(0); ++i) usleep(1000);
+  usleep(50000);
+  h.say(kOk);
+  const std::string answer = c.message();
+  EXPECT_EQ(status_of(answer), 200U);
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(c.message(1500).empty());
+}
+
+TEST_F(CrossingTest, TheSameIdOfTwoCustomersIsTwoHits) {
+  begin(all_hosts());
+  const auto of = [](const std::string& account) {
+    return "POST /pay HTTP/1.1\r\nX-Correlation-Id: one\r\nX-Account: " + account +
+           "\r\nX-Time-Left-Ms: 900\r\nContent-Length: 0\r\n\r\n";
+  };
+  Stream a = client(), b = client();
+  a.say(of("shop"));
+  Stream h = forward();
+  EXPECT_FALSE(h.message().empty());
+  b.say(of("other"));
+  Stream h2 = forward();
+  EXPECT_FALSE(h2.message().empty());
+  EXPECT_EQ(status_of(ask(of("shop"))), 409U);
+  h.say(kOk), h2.say(kOk);
+  EXPECT_EQ(status_of(a.message()), 200U);
+  EXPECT_EQ(status_of(b.message()), 200U);
+  EXPECT_EQ(status_of(ask("GET /look HTTP/1.1\r\nX-Correlation-Id: two\r\nX-Account: shop\r\n"
+                          "X-Account: other\r\nX-Time-Left-Ms: 900\r\n\r\n")),
+            400U);
+}
+
+// An idle connection that is ended is ended in order: what crosses it is read and dropped, and nothing reset.
+TEST_F(CrossingTest, ARequestThatCrossesTheEndOfAnIdleConnectionMeetsAnEndAndNoReset) {
+  limits_.client_idle = Span::ms(100);
+  begin(all_hosts());
+  Stream c = client();
+  c.say(kReady);
+  EXPECT_EQ(status_of(c.message()), 200U);
+  ASSERT_TRUE(c.ended(1000));
+  c.say(kReady);  // as if it had been on its way
+  usleep(20000);
+  char one;
+  EXPECT_EQ(::recv(c.fd, &one, 1, MSG_DONTWAIT), 0);
+  c.shut();
+  run_on_loop([] {});
+  stop();
+  thread_.join();
+  EXPECT_TRUE(noted("idle clients let go 1, crossed by a request 1"));
+}
+
+// ---- The end ----
+
+TEST_F(CrossingTest, ARequestInPiecesThatTheSignalCrossesIsAnswered) {
+  limits_.stop_accepting = Span::ms(60);
+  begin(all_hosts());
+  Stream first = client(), kept = client();
+  kept.say(kReady);
+  EXPECT_EQ(status_of(kept.message()), 200U);
+  const std::string request = get();
+  first.say(request.substr(0, 30));
+  kept.say(request.substr(0, 30));
+  usleep(20000);
+  stop();
+  usleep(300000);  // the door has closed meanwhile
+  for (Stream* c : {&first, &kept}) {
+    c->say(request.substr(30));
+    if (c == &first) {
+      Stream h = forward();
+      ASSERT_FALSE(h.message().empty());
+      h.say(kOk);
+      const std::string answer = c->message();
+      EXPECT_EQ(status_of(answer), 200U);
+      EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    } else {
+      EXPECT_EQ(status_of(c->message()), 409U);  // the same id, and an answer all the same
+    }
+    c->shut();
+  }
+  thread_.join();
+  EXPECT_TRUE(wound_down_);
+}
+
+TEST_F(CrossingTest, WhoWaitsOutsideAFullTableWhenTheSignalComesIsAnswered) {
+  limits_.stop_accepting = Span::ms(60);
+  limits_.clients = 2;
+  begin(list(entry(0), 41, true));
+  Stream a = client(), b = client();
+  a.say(get(2000)), b.say(get(2000));
+  Stream h = forward(), h2 = forward();
+  ASSERT_FALSE(h.message().empty() || h2.message().empty());
+  Stream outside = client();  // the machine has taken it, the router can't yet
+  outside.say(kReady);
+  usleep(50000);
+  stop();
+  usleep(250000);
+  EXPECT_FALSE(wound_down_);
+  h.say(kOk), h2.say(kOk);
+  EXPECT_EQ(status_of(a.message()), 200U);
+  EXPECT_EQ(status_of(b.message()), 200U);
+  a.shut(), b.shut();
+  EXPECT_EQ(status_of(outside.message()), 503U);
+  outside.shut();
+  thread_.join();
+}
+
+TEST_F(CrossingTest, ItLeavesOnceItsLastAnswerHasBeenReadAndNotBefore) {
+  limits_.stop_accepting = Span::ms(60);
+  begin(list(entry(0), 41, true));
+  Stream c = client();
+  c.say(get(2000));
+  Stream h = forward();
+  ASSERT_FALSE(h.message().empty());
+  stop();
+  usleep(200000);
+  h.say(kOk);
+  usleep(100000);
+  c.say(
+      "what the client sends behind its request");  // were this unread at the end, the answer would be reset
+  usleep(200000);
+  EXPECT_FALSE(wound_down_);
+  EXPECT_EQ(status_of(c.message()), 200U);
+  c.shut();
+  thread_.join();
+  EXPECT_TRUE(wound_down_);
+}
+
+TEST_F(CrossingTest, WhatStillWaitsAtTheLatestIsAnsweredBeforeItLeaves) {
+  limits_.stop_accepting = Span::ms(60);
+  limits_.stop_at_latest = Span::ms(300);
+  begin(list(entry(0), 41, true));
+  Stream c = client();
+  c.say(get(60000));
+  Stream h = forward();
+  ASSERT_FALSE(h.message().empty());
+  stop();
+  EXPECT_EQ(status_of(c.message()), 504U);
+  c.shut();
+  thread_.join();
+}
+
+TEST_F(CrossingTest, WhatComesAfterTheSignalHasItsAnswerBeforeTheProcessMayBeKilled) {
+  limits_.stop_accepting = Span::ms(200);
+  limits_.killed_soonest = Span::ms(700);
+  begin(list(entry(0), 41, true));
+  stop();
+  const Instant told = loop_.now();
+  Stream c = client();
+  c.say(get(60000));
+  Stream h = forward();  // it never answers
+  ASSERT_FALSE(h.message().empty());
+  EXPECT_NE(status_of(c.message(3000)), 0U);
+  EXPECT_LT(loop_.now() - told, Span::ms(700));
+}
+
+}  // namespace
+}  // namespace ashbeam
