What the settings do not name gets nothing of another's: accounts, zones, repeats in time

Change: a customer without a share stands behind the settings' (src/terms); unknown names have places of their own, said once in the log, 16 at the most (Service::Names; the module grows its zones, one line folded); what hosts remember counts less the connect time (Service::on_sockets); a host's connection rests 50 ms, the protocol's slack on time limits, before it is used again. Tests: settings_test.cpp (two deployments in turn decide as each alone; customers side by side, also swapped and with a stranger), crossings (a zone of no settings; a repeat that would come late), simhost_test.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -23,8 +23,9 @@
   int backlog = 1024;
   std::size_t ids = 16 * 1024;  // remembered, so that no id is taken twice
   // Times.
-  Span connect = Span::ms(250);       // to a host; the settings may say less
-  Span host_settle = Span::ms(4);     // after an answer, in which more than it may still come
+  Span connect = Span::ms(250);  // to a host; the settings may say less
+  Span host_settle =
+      Span::ms(50);  // after an answer, in which more than it may still come: as time limits' slack
   Span host_forgotten = Span::s(30);  // after it is gone; outcomes and judgements name it for a while
   Span host_idle = Span::s(24);       // kept connections are closed before the host does so
   Span first_request = Span::s(2);    // from a client's connecting to the end of its first request
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -207,12 +207,12 @@
       Host former = std::exchange(host, Host{});  // another process: what was learnt of it says nothing
       host.open = former.open, host.forwards = std::move(former.forwards);
       host.by_group.resize(groups_.size() + 1);
-      host.last_heard = now_;
-      host.phase = chance_.unit();
+      host.last_heard = now_, host.phase = chance_.unit();
     }
     host.in_list = true, host.state = state, host.build = build, host.last_start = last_start;
-    host.zone = std::min(zone, static_cast<unsigned>(zones_.size()) - 1), host.cell = cell;
-    host.kind = std::min(kind, kinds_ - 1);
+    host.zone = zone, host.cell = cell, host.kind = std::min(kind, kinds_ - 1);
+    if (zone >= zones_.size())
+      zones_.resize(zone + 1), speeds_.resize((zone + 1) * kinds_, {usual_.mean, {}});
   }
 
   void list_end() override {
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -85,19 +85,27 @@
 
 }  // namespace
 
+// A forward may wait for its connection, and reaches its host that much later: a repeat must still come while
+// the host remembers.
+Terms Service::on_sockets(Terms terms, Span connect) {
+  for (PathGroup& g : terms.path_groups) g.memory = std::max(Span(), g.memory - connect);
+  return terms;
+}
+
 Service::Service(Loop& loop, const Limits& limits, const Terms& terms, const DoorTerms& door,
                  const Site& site, Note note)
     : loop_(loop), limits_(limits), door_(door), site_(site), note_(std::move(note)),
       callers_(
           loop, limits, site.listen, [this](Caller& c, http::Messages& m) { came(c, m); },
           [this](Caller& c) { left(c); }, [this](Caller& c) { overdue(c.hit); }),
-      pools_(loop, limits, std::min(limits.connect, terms.drain_grace * 0.5)),
+      connect_(std::min(limits.connect, terms.drain_grace * 0.5)), pools_(loop, limits, connect_),
       discovery_(
           loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
           [this](const char* why, bool again) { list_lost(why, again); }),
       one_way_(terms.one_way), ids_(limits.ids), listed_ready_(loop, [this] { now_ready(); }),
       stop_(loop, [this] { check_wound_down(); }), refused_(loop, [this] { tell_refused(); }),
-      module_(make_router(terms, site.seed, *this)) {
+      zones_(door.zones, "zones"), kinds_(door.kinds, "kinds"),
+      module_(make_router(on_sockets(terms, connect_), site.seed, *this)) {
   for (const PathGroup& g : terms.path_groups) repeats_.push_back(g.repeats);
 }
 
@@ -492,6 +500,15 @@
   });
 }
 
+unsigned Service::Names::place(const std::string& name) {
+  if (known_.empty()) return 0;
+  const unsigned at = index_of(known_, name);
+  if (at < known_.size()) return at;
+  const unsigned more = index_of(unknown_, name);
+  if (more == unknown_.size() && unknown_.size() < kMostUnknown) unknown_.push_back(untold_ = name);
+  return static_cast<unsigned>(known_.size()) + std::min(more, kMostUnknown - 1);
+}
+
 void Service::list_entry(const Json& entry) {
   const std::string name = entry.text("uid"), state = entry.text("state");
   if (name.empty() || (state != "up" && state != "draining" && state != "removed")) {
@@ -519,17 +536,19 @@
   if (!gone) known.gone_at = Instant::never();
   known.address = address, known.build = build, known.started = started, known.listed = !gone;
   pools_.place(host, address, fresh, state == "up");
-  const auto place = [&](const std::vector<std::string>& names, const char* field) {
-    const unsigned at = index_of(names, listed_name(entry.text(field)));
-    return at < names.size() ? at : 0;
-  };
+  const unsigned zone = zones_.place(listed_name(entry.text("az")));
+  const unsigned kind = kinds_.place(listed_name(entry.text("model")));
+  for (Names* const names : {&zones_, &kinds_}) {
+    if (const std::string met = names->take_unknown(); !met.empty())
+      note_("list: '" + met + "' is not in the settings' " + names->what());
+  }
   const HostState as = state == "up"         ? HostState::kReady
                        : state == "draining" ? HostState::kDraining
                                              : HostState::kGone;
   tell([&](Router& r) {
-    r.list_host(host, as, static_cast<BuildId>(std::lround(std::clamp(build, 0.0, 65535.0))),
-                place(door_.zones, "az"), static_cast<unsigned>(std::max(0.0, entry.number("pod_group", 0))),
-                place(door_.kinds, "model"), started > 0 ? Instant::at_ms(started) : Instant());
+    r.list_host(host, as, static_cast<BuildId>(std::lround(std::clamp(build, 0.0, 65535.0))), zone,
+                static_cast<unsigned>(std::max(0.0, entry.number("pod_group", 0))), kind,
+                started > 0 ? Instant::at_ms(started) : Instant());
   });
 }
 
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/limits.hpp"
@@ -86,6 +87,23 @@
     Instant gone_at;
   };
 
+  // The places of names that stand in the settings' lists. One that does not has a place behind them, so that
+  // it is never taken for another; names past the most share the last place.
+  class Names {
+   public:
+    Names(std::vector<std::string> known, const char* what) : known_(std::move(known)), what_(what) {}
+    unsigned place(const std::string& name);
+    std::string take_unknown() { return std::exchange(untold_, {}); }  // once each
+    const char* what() const { return what_; }
+
+   private:
+    static constexpr unsigned kMostUnknown = 16;
+    std::vector<std::string> known_, unknown_;
+    std::string untold_;
+    const char* what_;
+  };
+  static Terms on_sockets(Terms terms, Span connect);
+
   // What the module does.
   void forward(HitId id, HostIndex host, Span try_for) override;
   void bounce(HitId id, Span retry_after) override;
@@ -142,6 +160,7 @@
   Note note_;
   std::unique_ptr<TlsDoor> tls_;  // before the connections that stand behind it
   Callers callers_;
+  Span connect_;  // how long a forward may wait for its connection
   HostPools pools_;
   Discovery discovery_;
   std::unique_ptr<Desk> desk_;
@@ -169,6 +188,7 @@
   calling::Identity who_;                    // of the request at hand; kept for its room
   std::vector<std::uint64_t> refused_told_;  // by reason, as last logged
   Timer refused_;
+  Names zones_, kinds_;
   std::unique_ptr<Router> module_;
 };
 
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -116,6 +116,8 @@
   for (std::uint32_t i = 0; i < parties; ++i) {
     t.customer_per_s.push_back(given.number("parties." + std::to_string(i) + ".allowancePerS", 0));
   }
+  // One more, with no share, for whoever is none of them: no name may bring more than its settings give.
+  if (parties > 0) t.customer_per_s.push_back(0);
   t.over_share_worth = given.number("overShareWorth", 1);
   t.zones = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.words("zones").size()));
   t.kinds = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(given.words("kinds").size()));
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -230,6 +230,52 @@
   EXPECT_TRUE(noted("idle clients let go 1, crossed by a request 1"));
 }
 
+// ---- Settings ----
+
+std::string placed(const std::string& list, const std::string& zone, const std::string& kind) {
+  std::string entry = list;
+  entry.replace(entry.find(R"("az":"a")"), 8, R"("az":")" + zone + '"');
+  return entry.replace(entry.find(R"("model":"m")"), 11, R"("model":")" + kind + '"');
+}
+
+// A repeat must stay in the first forward's zone: a zone that the settings do not name is none of theirs.
+TEST_F(CrossingTest, AZoneThatTheSettingsDoNotNameIsNeverTakenForAnother) {
+  terms_.path_groups[1].group = DropGroup::kZone;
+  terms_.path_groups[1].memory = Span::s(5);
+  begin(list(placed(entry(0), "a", "m") + "," + placed(entry(1), "x", "n") + "," + placed(entry(2), "y", "n"),
+             41, true));
+  for (int i = 0; i < 12; ++i) {
+    Stream c = client();
+    c.say(post("book", 600));
+    Stream h = forward();
+    ASSERT_FALSE(h.message().empty());
+    h.say(status_line("500"));
+    Stream second = forward(60);
+    EXPECT_EQ(second.fd, -1);
+    EXPECT_EQ(status_of(c.message()), 502U);
+  }
+  stop();
+  thread_.join();
+  EXPECT_TRUE(noted("list: 'x' is not in the settings' zones") &&
+              noted("list: 'n' is not in the settings' kinds"));
+  EXPECT_EQ(
+      std::count_if(notes_.begin(), notes_.end(), [](const auto& n) { return n.starts_with("list: 'n'"); }),
+      1);
+}
+
+// What hosts remember for less long than a forward may wait for its connection is never sent there again.
+TEST_F(CrossingTest, ARepeatReachesItsHostWhileThatRemembersOrIsNotSent) {
+  for (PathGroup& g : terms_.path_groups) g.group = DropGroup::kAll, g.memory = Span::ms(240);
+  begin(all_hosts());
+  Stream c = client();
+  c.say(post("book", 1500));
+  Stream h = forward();
+  ASSERT_FALSE(h.message().empty());
+  h.reset();
+  EXPECT_EQ(forward(100).fd, -1);
+  EXPECT_NE(status_of(c.message()), 0U);
+}
+
 // ---- The end ----
 
 TEST_F(CrossingTest, ARequestInPiecesThatTheSignalCrossesIsAnswered) {
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,59 @@
+// Each deployment, path group and customer is decided by its own settings alone: names and neighbours change
+// nothing.
+#include <gtest/gtest.h>
+
+#include "helpers.hpp"
+
+namespace ashbeam {
+namespace {
+
+using Sent = std::vector<std::pair<HitId, HostIndex>>;
+
+Sent played(const Terms& terms, const std::vector<unsigned>& groups) {
+  World w(terms, 6, 2);
+  w.stage(2, 0, Phase::kTrial, terms.caps[0]);
+  w.serve = [](BuildId, HostIndex h) {
+    return World::Outcome{h % 5 == 4 ? Result::kError : Result::kOk, Span::ms(60)};
+  };
+  w.run(Span::s(8), 60, groups);
+  Sent all;
+  for (const Noted::Sent& s : w.sink.sent) all.emplace_back(s.hit, s.host);
+  return all;
+}
+
+TEST(Settings, TwoDeploymentsInTurnAreDecidedAsEachAlone) {
+  const Terms one = usual_terms();
+  Terms other;  // fewer path groups in another order, one zone, other limits, more kinds, more stages
+  other = usual_terms();
+  other.path_groups = {other.path_groups[2], other.path_groups[0]};
+  other.path_groups[0].client_timeout = Span::s(6), other.path_groups[1].client_timeout = Span::ms(900);
+  other.zones = 1, other.kinds = 3, other.max_forwards = 2, other.may_copy = false, other.one_way = true;
+  other.caps = {0.2, 0.3, 0.5, 0.8, 1}, other.customer_per_s = {5, 50, 1};
+  const Sent alone = played(one, {0, 1, 2}), others = played(other, {0, 1});
+  EXPECT_NE(alone, others);
+  EXPECT_EQ(played(one, {0, 1, 2}), alone);
+  EXPECT_EQ(played(other, {0, 1}), others);
+}
+
+// Of hits that may be late those over their customer's share are given up first, whoever that is.
+TEST(Settings, CustomersSideBySideAreHeldToTheirOwnShares) {
+  const auto bounced = [](const std::vector<double>& shares) {
+    Terms terms = usual_terms();
+    terms.customer_per_s = shares;
+    terms.over_share_worth = 0.05;
+    World w(terms, 4);
+    w.customers = static_cast<unsigned>(shares.size());
+    w.serve = [](BuildId, HostIndex) { return World::Outcome{Result::kOk, Span::ms(200)}; };
+    w.run(Span::s(20), 60);
+    std::vector<std::size_t> by(shares.size());
+    for (const HitId hit : w.sink.bounced) ++by[hit % by.size()];
+    return by;
+  };
+  const auto by = bounced({400, 2}), swapped = bounced({2, 400}), stranger = bounced({400, 400, 0});
+  EXPECT_GT(by[1], 2 * by[0] + 50);
+  EXPECT_GT(swapped[0], 2 * swapped[1] + 50);
+  EXPECT_GT(stranger[2], stranger[0] + stranger[1] + 50);
+}
+
+}  // namespace
+}  // namespace ashbeam
--- a/tests/simhost_test.cpp
+++ b/tests/simhost_test.cpp
@@ -181,5 +181,12 @@
   EXPECT_EQ(read("replicasOfMe=2\nfamilyInfo.callsPerS=0\n", 1).votes_per_s, 1);
 }
 
+// Whoever is no customer of the settings has no share, and no other customer's.
+TEST(Settings, ThereIsAPlaceWithoutAShareForWhoeverIsNoCustomer) {
+  const std::string two = "parties.count=2\nparties.0.name=x\nparties.0.allowancePerS=9\nparties.1.name=y\n";
+  EXPECT_EQ(read_terms(Pairs(kInfo + two)).customer_per_s, (std::vector<double>{9, 0, 0}));
+  EXPECT_TRUE(read_terms(Pairs(kInfo + std::string("parties.count=0\n"))).customer_per_s.empty());
+}
+
 }  // namespace
 }  // namespace ashbeam::simhost
