Only whole lines are a sign of life of the release desk, as of discovery

Need (by reading): any bytes put the desk's silence off, so that a connection that drips and never ends a line was kept for hours, with the news standing still. Change: the silence is counted from the last line that could be read (src/routing/desk.cpp). Test: a desk that drips is opened anew (fails without it).

--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -95,7 +95,6 @@
 void Desk::bytes_came() {
   const std::string bytes(connection_->unread());
   connection_->take(bytes.size());
-  silence_.in(limits_.desk_silence);
   const bool good = lines_.feed(bytes, [&](std::string_view text) { return text.empty() || line(text); });
   if (!good) return lost("sends what can't be read");
   end_if_retired();
@@ -104,6 +103,7 @@
 bool Desk::line(std::string_view text) {
   const auto whole = Json::parse(text);
   if (!whole || !whole->is_object()) return false;
+  silence_.in(limits_.desk_silence);  // bytes that never end a line are no sign of life
   if (tries_ > 0) note_("connection stands again, tries " + std::to_string(tries_)), tries_ = 0;
   const std::string method = whole->text("method");
   if (method.empty()) {
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -136,6 +136,18 @@
   EXPECT_TRUE(reached(12)[0]);
 }
 
+TEST_F(CrossingTest, ADeskThatDripsAndNeverEndsALineIsOpenedAnew) {
+  limits_.desk_silence = Span::ms(200);
+  limits_.retry_first = Span::ms(10);
+  begin(all_hosts());
+  Stream s = desk_.take();
+  EXPECT_FALSE(s.line().empty());
+  int said = 0;
+  for (; said < 40 && !desk_.asked(20); ++said) s.say(" ");
+  EXPECT_LT(said, 30);
+  EXPECT_TRUE(s.ended());
+}
+
 // ---- Forwards ----
 
 TEST_F(CrossingTest, AForwardTellsTheTimeThatIsLeftWhenItsConnectionIsThere) {
