An answer of no length that is reset half way is no answer: only an end in order ends it

At fault: `HostPools::Link::ended` took any end of the connection for the end of such a body, a reset, too (src/routing/host_pools.cpp); `Connection` did not say which it was. Change: `Connection::broken()`; a body without a length is whole only after an end in order. Test: a reset within such a body is an attempt that may have run (fails without it).

--- a/src/routing/host_pools.cpp
+++ b/src/routing/host_pools.cpp
@@ -65,7 +65,9 @@
 
   void ended() override {
     if (!waiting()) return pools_.remove(this);
-    if (answers_.stream_ended() == http::Messages::Got::kWhole) return answered(false);
+    // Only an end in order ends a body of no length: a reset may come in the midst of it.
+    if (!connection_.broken() && answers_.stream_ended() == http::Messages::Got::kWhole)
+      return answered(false);
     finish(unless_unwritten(Result::kReset), true);
   }
 
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -184,6 +184,7 @@
   const int error = errno;
   in_.resize(had + static_cast<std::size_t>(std::max<std::ptrdiff_t>(n, 0)));
   if (n < 0 && (error == EAGAIN || error == EINTR)) return;
+  broken_ = n != 0;
   if (n <= 0) return end();
   if (unread().size() >= limits_.unread) watch(false, writing_);  // until the owner has taken some
   else read_held();
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -48,6 +48,8 @@
   void write(std::string_view bytes);  // as much as goes at once, the rest when the other side reads
   void finish_writing();               // tells the other side that nothing more comes; reading goes on
   void discard();                      // whatever else comes is dropped unseen, up to the end
+  // Once ended: not by the other side in order, so what came may not be all.
+  bool broken() const { return broken_; }
   bool discarded() const { return discarded_; }  // has anything been?
   void close();                                  // no callback comes after this
   // Has the other side closed, or sent something unasked? Looks at the socket itself, not at what was read.
@@ -75,7 +77,7 @@
   Poco::Net::StreamSocket socket_;
   State state_ = State::kOpening;
   bool was_open_ = false, reading_ = false, writing_ = false, watched_ = false, discarding_ = false,
-       discarded_ = false;
+       discarded_ = false, broken_ = true;
   std::string in_, out_;
   std::size_t taken_ = 0, written_ = 0;
   MakeVeil make_veil_;                                     // until the socket is open
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -171,6 +171,31 @@
   EXPECT_EQ(status_of(c.message()), 200U);
 }
 
+// A body of no length goes on until the connection ends, and is whole only where it ends in order.
+TEST_F(CrossingTest, AnAnswerOfNoLengthThatIsResetIsNotServed) {
+  begin(all_hosts());
+  for (const bool again : {true, false}) {
+    Stream c = client();
+    c.say(again ? get() : post("pay"));
+    Stream h = forward();
+    ASSERT_FALSE(h.message().empty());
+    h.say("HTTP/1.1 200 OK\r\n\r\nhalf of");
+    usleep(20000);
+    h.reset();
+    Stream second = forward(again ? 1000 : 60);
+    EXPECT_EQ(second.fd >= 0, again);
+    if (again) {
+      EXPECT_FALSE(second.message().empty());
+      second.say("HTTP/1.1 200 OK\r\n\r\nwhole");
+      usleep(20000);
+      second.shut();
+    }
+    const std::string answer = c.message();
+    EXPECT_EQ(status_of(answer), again ? 200U : 502U);
+    EXPECT_EQ(answer.ends_with("\r\n\r\nwhole"), again);
+  }
+}
+
 // ---- Clients ----
 
 TEST_F(CrossingTest, AClientThatLeavesBehindALotUnreadIsSeenToLeave) {
