A process that starts among many waits by lot before its first call for the list

Ruled out: silent watches, lists passed over. At fault: `Service::start` asked at once whatever the number of routers. Change: the first call waits by lot for up to a fifth of the time within which the settings have each router ask once, 2 s at the most, less for fewer than 101 routers, nothing for one. Without a list a process is ready after 4 s (2 s before), within the 6 s asked for.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -45,7 +45,10 @@
   Span discovery_silence = Span::ms(2500);
   Span discovery_first_line = Span::ms(1500);  // of a watch begun in place of a silent one
   Span discovery_call = Span::ms(4500);        // of any other: discovery may let a call wait for its turn
-  Span first_list = Span::s(2);                // after the start; ready then without
+  // After the start, by lot: many routers may have been started anew at once, and calls that wait too long at
+  // discovery cost it as much as those that it serves. The settings say how many it bears.
+  Span first_ask;
+  Span first_list = Span::s(4);  // after the start; ready then without
   Span desk_connect = Span::s(1);
   Span desk_silence = Span::ms(3500);  // a ping comes every second
   Span desk_answer = Span::s(2);
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -102,9 +102,9 @@
       discovery_(
           loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
           [this](const char* why, bool again) { list_lost(why, again); }),
-      one_way_(terms.one_way), ids_(limits.ids), listed_ready_(loop, [this] { now_ready(); }),
-      stop_(loop, [this] { check_wound_down(); }), refused_(loop, [this] { tell_refused(); }),
-      zones_(door.zones, "zones"), kinds_(door.kinds, "kinds"),
+      one_way_(terms.one_way), ids_(limits.ids), first_ask_(loop, [this] { follow_list(); }),
+      listed_ready_(loop, [this] { now_ready(); }), stop_(loop, [this] { check_wound_down(); }),
+      refused_(loop, [this] { tell_refused(); }), zones_(door.zones, "zones"), kinds_(door.kinds, "kinds"),
       module_(make_router(on_sockets(terms, connect_), site.seed, *this)) {
   for (const PathGroup& g : terms.path_groups) repeats_.push_back(g.repeats);
 }
@@ -117,9 +117,9 @@
   if (!site_.known.empty() && !discovery_.take(site_.known)) note_("known list can't be read");
   if (const auto news = Json::parse(site_.news)) stage(*news, false);
   // On sockets nobody sends the list unasked, whatever the settings say of how it comes elsewhere.
-  follow_list();
   open_desk();
   started_ = true;
+  first_ask_.in(limits_.first_ask * Pcg(site_.seed).unit());
 }
 
 // Ready means that it can serve: with the list as it stands now, since what discovery has told the machine
@@ -464,9 +464,9 @@
 
 // ---- The list ----
 
-// After the call at hand: at the start the known list is read first, and the watch asks from there.
+// After the call at hand; the first time with the start's wait over, and from the known list.
 void Service::follow_list() {
-  loop_.later([this] { discovery_.follow(); });
+  if (started_) loop_.later([this] { discovery_.follow(); });
 }
 
 void Service::listed(bool whole, const Json& entries) {
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -177,7 +177,7 @@
   unsigned watch_tries_ = 0;  // since it was lost
   std::string doubted_;       // news of an unknown kind, met once
   bool started_ = false, ready_ = false, winding_down_ = false;
-  Timer listed_ready_;
+  Timer first_ask_, listed_ready_;
   Instant stop_at_;
   Timer stop_;
   std::function<void()> wound_down_;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -126,6 +126,25 @@
   EXPECT_FALSE(reached(12)[0]);
 }
 
+// Many may have been started at once: each waits by lot before its first call, and few need not.
+TEST_F(CrossingTest, AProcessAmongManyWaitsByLotBeforeItsFirstCallForTheList) {
+  for (const unsigned routers : {1U, 51U, 300U}) {
+    terms_.routers = routers;
+    const Limits limits = limits_for(1024, door_, terms_);
+    EXPECT_EQ(limits.first_ask, routers == 1 ? Span() : routers == 51 ? Span::s(1) : Span::s(2));
+    EXPECT_LT(limits.first_ask, limits.first_list);
+  }
+  limits_.first_ask = Span::s(1);
+  limits_.first_list = Span::s(30);
+  const Span wait = limits_.first_ask * Pcg(7).unit();
+  begin(all_hosts());
+  const Instant from = loop_.now();
+  Stream d = discovery_.take(2000);
+  EXPECT_FALSE(d.message().empty());
+  EXPECT_GE(loop_.now() - from, wait - Span::ms(20));
+  EXPECT_LT(loop_.now() - from, wait + Span::ms(500));
+}
+
 TEST_F(CrossingTest, ItIsReadyAfterAWhileWithNoList) {
   limits_.first_list = Span::ms(300);
   begin(all_hosts());
