After the last read: one way to linger, a forward's time with no allocation, no state twice

The end of a last answer and of an idle connection lingered in two copies; a closure of 24 bytes for each forward and a text for each id were allocated on a hit's path; the connect time stood twice. `Discovery::follow` began the tries of a silent watch anew although one was under way.

--- a/src/routing/callers.cpp
+++ b/src/routing/callers.cpp
@@ -85,11 +85,7 @@
   timer_.off();
   since_ = callers_.loop_.now();
   if (last_) {
-    // Closing with bytes unread would reset the connection, and the answer with it.
-    at_ = At::kLingering;
-    connection_.finish_writing();
-    timer_.in(callers_.limits_.linger);
-    return connection_.discard();
+    return linger();
   }
   asked_ = true;
   requests_.next();
@@ -103,10 +99,14 @@
 }
 
 void Caller::part() {
-  timer_.off();
   parted_ = true;
   ++callers_.parted_;
   since_ = callers_.loop_.now();
+  linger();
+}
+
+// Closing with bytes unread would reset the connection, and the answer with it.
+void Caller::linger() {
   at_ = At::kLingering;
   connection_.finish_writing();
   timer_.in(callers_.limits_.linger);
--- a/src/routing/callers.hpp
+++ b/src/routing/callers.hpp
@@ -46,7 +46,8 @@
   void wait_for_more();
   void late();
   bool stands() const { return at_ == At::kReading && asked_ && !requests_.begun(); }  // between requests
-  void part();  // ends it between requests: no more is written, what crosses that is read and dropped
+  void linger();  // no more is written, what still comes is read and dropped, up to the client's end
+  void part();    // ends it between requests: no more is written, what crosses that is read and dropped
   Callers& callers_;
   std::size_t place_;
   At at_ = At::kReading;
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -57,8 +57,9 @@
 
 void Discovery::follow() {
   following_ = true;
+  if (connection_) return;
   in_place_ = 0;
-  if (!connection_) begin(limits_.discovery_call);
+  begin(limits_.discovery_call);
 }
 
 void Discovery::begin(Span first_line) {
--- a/src/routing/host_pools.cpp
+++ b/src/routing/host_pools.cpp
@@ -29,7 +29,7 @@
     next_ = std::move(next);
     until_ = until;
     answers_.next();
-    if (!connection_.opening()) return timer_.at(until), connection_.write(bytes());
+    if (!connection_.opening()) return timer_.at(until), connection_.write(bytes(until));
     bytes_ = std::move(bytes);
     timer_.at(std::min(until, pools_.loop_.now() + pools_.connect_));
   }
@@ -49,7 +49,7 @@
   void opened() override {
     if (!waiting()) return;
     timer_.at(until_);
-    connection_.write(std::exchange(bytes_, nullptr)());
+    connection_.write(std::exchange(bytes_, nullptr)(until_));
   }
 
   void bytes_came() override {
--- a/src/routing/host_pools.hpp
+++ b/src/routing/host_pools.hpp
@@ -30,12 +30,13 @@
   void place(HostIndex host, const std::string& address, bool fresh, bool takes_more);
   // Never calls `next` before it returns. The link, for `cancel`, stands until then; it may be null. `bytes`
   // is asked once, when the connection is there.
-  using Bytes = std::function<std::string()>;
+  using Bytes = std::function<std::string(Instant until)>;
   Link* send(HostIndex host, Bytes bytes, Instant until, Next next);
   void cancel(Link* link);  // `next` is told after this returns
   // Ends a forward that is not written whole as moot, since it has never run: `next` is told after this
   // returns, and the link must not be named again. False, and nothing done, where it is too late.
   bool recall(Link* link);
+  Span connect() const { return connect_; }
 
  private:
   struct Host {
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -98,14 +98,14 @@
       callers_(
           loop, limits, site.listen, [this](Caller& c, http::Messages& m) { came(c, m); },
           [this](Caller& c) { left(c); }, [this](Caller& c) { overdue(c.hit); }),
-      connect_(std::min(limits.connect, terms.drain_grace * 0.5)), pools_(loop, limits, connect_),
+      pools_(loop, limits, std::min(limits.connect, terms.drain_grace * 0.5)),
       discovery_(
           loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
           [this](const char* why, bool again) { list_lost(why, again); }),
       one_way_(terms.one_way), ids_(limits.ids), first_ask_(loop, [this] { follow_list(); }),
       listed_ready_(loop, [this] { now_ready(); }), stop_(loop, [this] { check_wound_down(); }),
       refused_(loop, [this] { tell_refused(); }), zones_(door.zones, "zones"), kinds_(door.kinds, "kinds"),
-      module_(make_router(on_sockets(terms, connect_), site.seed, *this)) {
+      module_(make_router(on_sockets(terms, pools_.connect()), site.seed, *this)) {
   for (const PathGroup& g : terms.path_groups) repeats_.push_back(g.repeats);
 }
 
@@ -166,9 +166,8 @@
   if (gate_ && !let_in(caller, who, group, ticket)) return;
   // Guards against a hit run twice since another client came with its id, during it or soon after.
   // By account: what one customer sends says nothing of another's.
-  std::string id(head.find("X-Account").value_or(""));
-  id.append(1, '\n').append(*head.find("X-Correlation-Id"));
-  if (!ids_.take(id, now, give_up_at + limits_.id_kept)) {
+  id_.assign(head.find("X-Account").value_or("")).append(1, '\n').append(*head.find("X-Correlation-Id"));
+  if (!ids_.take(id_, now, give_up_at + limits_.id_kept)) {
     if (gate_) gate_->ended(ticket);
     return caller.answer_plain(409);
   }
@@ -374,9 +373,9 @@
   const auto leg = static_cast<unsigned>(hit.legs.size());
   const Instant until = try_for > Span() ? std::min(now + try_for, hit.give_up_at) : hit.give_up_at;
   // The time left is told as it is when the connection is there: that may be long after now.
-  const auto bytes = [this, id, until] {
+  const auto bytes = [this, id](Instant end) {
     const Hit& h = hits_[id];
-    const std::int64_t left_ms = std::max<std::int64_t>(0, (until - loop_.now()).us() / 1000);
+    const std::int64_t left_ms = std::max<std::int64_t>(0, (end - loop_.now()).us() / 1000);
     return h.head + "X-Time-Left-Ms: " + std::to_string(left_ms) + "\r\n\r\n" + h.body;
   };
   hit.legs.push_back({host, now, nullptr});
@@ -455,7 +454,7 @@
   const std::string path = door_.report_columns.empty() ? "/health/live" : "/stats";
   const std::string bytes = "GET " + path + " HTTP/1.1\r\nHost: " + hosts_[host].address + "\r\n\r\n";
   pools_.send(
-      host, [bytes] { return bytes; }, loop_.now() + limits_.connect,
+      host, [bytes](Instant) { return bytes; }, loop_.now() + limits_.connect,
       [this, host](Result result, const http::Messages* a) {
         const auto told = report(a);
         tell([&](Router& r) { r.load_told(host, result == Result::kOk, told); });
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -160,7 +160,6 @@
   Note note_;
   std::unique_ptr<TlsDoor> tls_;  // before the connections that stand behind it
   Callers callers_;
-  Span connect_;  // how long a forward may wait for its connection
   HostPools pools_;
   Discovery discovery_;
   std::unique_ptr<Desk> desk_;
@@ -168,6 +167,7 @@
   Slab<Hit> hits_;
   bool one_way_;
   Ids ids_;
+  std::string id_;  // of the request at hand; kept for its room
   unsigned in_hand_ = 0;
   std::map<std::string, HostIndex, std::less<>> indices_;
   std::vector<Known> hosts_;
