Detailed log lines on requests, attempts and discovery calls, switched on in service

The incident's records name no call to discovery, so the cause could not be read from them. ASHBEAM_LOG=detail or SIGUSR1 switch on lines with ids and reasons, at most 2,000 a second. Off, nothing is formatted. No behaviour changes. Tests not run yet on this commit.

--- /dev/null
+++ b/src/base/detail_log.hpp
@@ -0,0 +1,52 @@
+// Detailed log lines: off until an operator switches them on, and bounded in rate, so that they may be
+// switched on in service. A line is formatted only while they are on.
+#pragma once
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "base/time.hpp"
+
+namespace ashbeam {
+
+class DetailLog {
+ public:
+  using Write = std::function<void(std::string_view)>;
+  explicit DetailLog(Write write) : write_(std::move(write)) {}
+
+  void enable(bool on) { on_ = on; }
+  bool on() const { return on_; }
+
+  // printf-style; lines past kMostPerSecond are counted, and the count is written once the second is over.
+  template <class... Figures>
+  void line(Instant now, const char* format, Figures... figures) {
+    if (!on_ || !admit(now)) return;
+    char text[kLongest];
+    const int length = std::snprintf(text, sizeof text, format, figures...);
+    write_({text, static_cast<std::size_t>(std::clamp(length, 0, kLongest - 1))});
+  }
+
+ private:
+  static constexpr int kLongest = 320;
+  static constexpr unsigned kMostPerSecond = 2000;
+
+  bool admit(Instant now) {
+    if (now - second_ >= Span::s(1)) {
+      if (left_out_ > 0) write_("detail: " + std::to_string(left_out_) + " lines left out");
+      second_ = now;
+      written_ = left_out_ = 0;
+    }
+    if (written_ < kMostPerSecond) return ++written_, true;
+    return ++left_out_, false;
+  }
+
+  Write write_;
+  bool on_ = false;
+  Instant second_;
+  unsigned written_ = 0, left_out_ = 0;
+};
+
+}  // namespace ashbeam
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
+#include <string_view>
 
 #include "program/commands.hpp"
 #include "program/environment.hpp"
@@ -20,7 +21,10 @@
 
 namespace {
 
-volatile std::sig_atomic_t stop_asked = 0, reading_asked = 0;
+volatile std::sig_atomic_t stop_asked = 0, reading_asked = 0, detail_asked = 0;
+
+// Set to "detail", the log has detailed lines from the start; SIGUSR1 switches them on and off in service.
+constexpr const char* kLogVariable = "ASHBEAM_LOG";
 
 class Complaints : public Poco::ErrorHandler {  // no exception ends the loop
  public:
@@ -67,6 +71,8 @@
     guardian = std::make_unique<Guardian>(loop, service, door, terms, options.operators, start.site.seed,
                                           [](std::string_view line) { spdlog::info("{}", line); });
   }
+  const char* const log_wanted = std::getenv(kLogVariable);
+  service.detail_log().enable(log_wanted && std::string_view(log_wanted) == "detail");
   service.start();
   spdlog::info("{} serves at {}: {} path groups, router {} of {}", start.site.name, start.site.listen,
                terms.path_groups.size(), terms.me, terms.routers);
@@ -78,6 +84,12 @@
       spdlog::info("told to stop");
       service.wind_down([&] { loop.stop(); });
     }
+    if (detail_asked != 0) {
+      detail_asked = 0;
+      DetailLog& detail = service.detail_log();
+      detail.enable(!detail.on());
+      spdlog::info("detailed lines {}", detail.on() ? "on" : "off");
+    }
     if (reading_asked != 0) {
       reading_asked = 0;
       if (service.winding_down()) return spdlog::info("configuration not read again: told to stop");
@@ -96,6 +108,7 @@
 int serve(const ServeOptions& options) {
   std::signal(SIGPIPE, SIG_IGN);
   for (const int signal : {SIGTERM, SIGINT}) std::signal(signal, [](int) { stop_asked = 1; });
+  std::signal(SIGUSR1, [](int) { detail_asked = 1; });
   std::signal(SIGHUP, [](int) { reading_asked = 1; });
   Complaints complaints;
   Poco::ErrorHandler::set(&complaints);
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -4,8 +4,9 @@
 
 namespace ashbeam {
 
-Discovery::Discovery(Loop& loop, const Limits& limits, std::string address, Told told, Failed failed)
-    : loop_(loop), limits_(limits), address_(std::move(address)), told_(std::move(told)),
+Discovery::Discovery(Loop& loop, const Limits& limits, std::string address, DetailLog& detail, Told told,
+                     Failed failed)
+    : loop_(loop), limits_(limits), address_(std::move(address)), detail_(detail), told_(std::move(told)),
       failed_(std::move(failed)), head_(http::Side::kAnswers, limits.head),
       body_(std::numeric_limits<std::size_t>::max()), lines_(limits.list_line),
       silence_(loop, [this] { silent(); }) {}
@@ -45,13 +46,15 @@
   older_ = false;
   version_ = at;
   any_ = true;
+  detail_.line(loop_.now(), "discovery: version %llu%s", static_cast<unsigned long long>(at),
+               *whole->truth() ? ", whole" : "");
   told_(*whole->truth(), *entries);
   return true;
 }
 
 void Discovery::move_to(const std::string& address) {
   address_ = address;
-  drop();
+  drop("discovery moved");
   if (following_) follow();
 }
 
@@ -66,6 +69,11 @@
   head_.clear();
   lines_.clear();
   in_body_ = stands_ = false;
+  ++calls_;
+  bytes_ = 0;
+  begun_at_ = loop_.now();
+  detail_.line(begun_at_, "discovery: call %llu to %s begins, has version %llu", calls_number(),
+               address_.c_str(), static_cast<unsigned long long>(any_ ? version_ : 0));
   connection_ = std::make_unique<Connection>(loop_, limits_, *this, address_);
   std::string request = "GET /registry/instances?follow=1";
   if (any_) request += "&since=" + std::to_string(version_);
@@ -75,6 +83,8 @@
 
 // A whole line is a sign of life, bytes alone are none: a list that drips and never ends tells nothing.
 bool Discovery::line(std::string_view text) {
+  detail_.line(loop_.now(), "discovery: call %llu line of %zu bytes, after %.1f ms", calls_number(),
+               text.size(), (loop_.now() - begun_at_).ms());
   if (!text.empty() && !take(text)) return false;
   stands_ = true;
   in_place_ = 0;
@@ -86,15 +96,23 @@
 // misses counts as told all the same.
 void Discovery::silent() {
   if (!stands_ && (in_place_ == 0 || in_place_ > 1)) return fail("silent");
-  drop();
+  drop("silent");
   ++in_place_;
   failed_("silent", true);
   begin(in_place_ == 1 ? limits_.discovery_first_line : limits_.discovery_call);
 }
 
+void Discovery::opened() {
+  detail_.line(loop_.now(), "discovery: call %llu connected, after %.1f ms", calls_number(),
+               (loop_.now() - begun_at_).ms());
+}
+
 void Discovery::bytes_came() {
   std::string_view bytes = connection_->unread();
   const std::size_t had = bytes.size();
+  bytes_ += had;
+  detail_.line(loop_.now(), "discovery: call %llu bytes %zu, %llu in all, after %.1f ms", calls_number(), had,
+               static_cast<unsigned long long>(bytes_), (loop_.now() - begun_at_).ms());
   if (!in_body_) {
     const auto got = head_.feed(bytes);
     if (got == http::Head::Got::kMore) return connection_->take(had);
@@ -114,13 +132,21 @@
   if (got == http::Body::Got::kWhole) fail("ended");
 }
 
-void Discovery::drop() {
+void Discovery::drop(const char* why) {
+  if (connection_) {
+    detail_.line(loop_.now(), "discovery: call %llu closed: %s, after %.1f ms, %llu bytes, %s",
+                 calls_number(), why, (loop_.now() - begun_at_).ms(), static_cast<unsigned long long>(bytes_),
+                 connection_->opening() ? "not connected"
+                 : stands_              ? "watch stood"
+                 : in_body_             ? "line begun"
+                                        : "no answer");
+  }
   silence_.off();
   if (connection_) connection_->close(), loop_.destroy_later(std::move(connection_));
 }
 
 void Discovery::fail(const char* why) {
-  drop();
+  drop(why);
   failed_(why, false);
 }
 
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "base/detail_log.hpp"
 #include "base/limits.hpp"
 #include "protocol/http.hpp"
 #include "protocol/lines.hpp"
@@ -18,7 +19,8 @@
   using Told = std::function<void(bool whole, const Json& entries)>;
   // `again`: another watch has been begun in its place already; else `follow` has to be called.
   using Failed = std::function<void(const char* why, bool again)>;
-  Discovery(Loop& loop, const Limits& limits, std::string address, Told told, Failed failed);
+  Discovery(Loop& loop, const Limits& limits, std::string address, DetailLog& detail, Told told,
+            Failed failed);
   // A list in discovery's form, from the watch or from elsewhere; false where it is none.
   bool take(std::string_view line);
   void follow();  // begins a watch unless one stands; `failed` says each time that one ended
@@ -26,16 +28,19 @@
   void move_to(const std::string& address);
 
  private:
+  void opened() override;
   void bytes_came() override;
   void ended() override { fail("ended"); }
   void begin(Span first_line);  // opens a connection and asks; the first line has to come within that
   bool line(std::string_view text);
   void silent();
   void fail(const char* why);
-  void drop();
+  void drop(const char* why);
+  unsigned long long calls_number() const { return calls_; }
   Loop& loop_;
   const Limits& limits_;
   std::string address_;
+  DetailLog& detail_;
   Told told_;
   Failed failed_;
   std::uint64_t version_ = 0, doubted_ = UINT64_MAX;
@@ -50,6 +55,9 @@
   bool in_body_ = false;
   std::string raw_, plain_;
   Lines lines_;
+  // For the log: calls so far, when the one at hand began, and the bytes that came on it.
+  std::uint64_t calls_ = 0, bytes_ = 0;
+  Instant begun_at_;
   Timer silence_;
 };
 
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
@@ -83,6 +84,13 @@
   });
 }
 
+const char* name_of(Result result) {
+  constexpr std::array kNames{"ok",         "error", "turned away", "timeout",
+                              "no connect", "reset", "cancelled",   "cancelled before sent"};
+  const auto at = static_cast<std::size_t>(result);
+  return at < kNames.size() ? kNames[at] : "unknown";
+}
+
 }  // namespace
 
 // A forward may wait for its connection, and reaches its host that much later: a repeat must still come while
@@ -94,13 +102,13 @@
 
 Service::Service(Loop& loop, const Limits& limits, const Terms& terms, const DoorTerms& door,
                  const Site& site, Note note)
-    : loop_(loop), limits_(limits), door_(door), site_(site), note_(std::move(note)),
+    : loop_(loop), limits_(limits), door_(door), site_(site), note_(std::move(note)), detail_(note_),
       callers_(
           loop, limits, site.listen, [this](Caller& c, http::Messages& m) { came(c, m); },
           [this](Caller& c) { left(c); }, [this](Caller& c) { overdue(c.hit); }),
       pools_(loop, limits, std::min(limits.connect, terms.drain_grace * 0.5)),
       discovery_(
-          loop, limits, site.discovery, [this](bool whole, const Json& e) { listed(whole, e); },
+          loop, limits, site.discovery, detail_, [this](bool whole, const Json& e) { listed(whole, e); },
           [this](const char* why, bool again) { list_lost(why, again); }),
       one_way_(terms.one_way), ids_(limits.ids), first_ask_(loop, [this] { follow_list(); }),
       listed_ready_(loop, [this] { now_ready(); }), stop_(loop, [this] { check_wound_down(); }),
@@ -208,6 +216,11 @@
   const unsigned customer =
       who.caller.empty() ? index_of(door_.customers, head.find("X-Account").value_or("")) : who.customer;
   if (one_way_) hit.key = key;
+  if (detail_.on()) {
+    const std::string_view id = head.find("X-Correlation-Id").value_or("");
+    detail_.line(now, "request %u taken: id %.*s class %u, time left %.0f ms", place,
+                 static_cast<int>(id.size()), id.data(), group, (give_up_at - now).ms());
+  }
   tell([&](Router& r) { r.taken(place, group, customer, key, give_up_at, hint); });
 }
 
@@ -287,6 +300,7 @@
 void Service::left(Caller& caller) {
   const HitId id = caller.hit;
   if (id == UINT32_MAX) return;
+  detail_.line(loop_.now(), "request %u: its client closed", id);
   take_caller(id);
   abandon(id);
 }
@@ -331,6 +345,7 @@
 
 // The place is given back after the call at hand: the module may still name the hit in it.
 void Service::answer_finally(HitId id, unsigned status, std::string_view fields) {
+  detail_.line(loop_.now(), "request %u answered %u without an endpoint's answer", id, status);
   if (Caller* const caller = take_caller(id)) caller->answer_plain(status, fields);
   loop_.later([this, id] { drop_if_over(id); });
 }
@@ -378,6 +393,8 @@
     const std::int64_t left_ms = std::max<std::int64_t>(0, (end - loop_.now()).us() / 1000);
     return h.head + "X-Time-Left-Ms: " + std::to_string(left_ms) + "\r\n\r\n" + h.body;
   };
+  detail_.line(now, "request %u attempt %u to endpoint %u at %s, release %.0f, waits %.0f ms at most", id,
+               leg, host, hosts_[host].address.c_str(), hosts_[host].build, (until - now).ms());
   hit.legs.push_back({host, now, nullptr});
   ++hit.out;
   ++hosts_[host].out;
@@ -403,6 +420,8 @@
   const HostIndex host = forward.host;
   --hosts_[host].out;
   const Span took = loop_.now() - forward.sent;
+  detail_.line(loop_.now(), "request %u attempt %u to endpoint %u ended: %s, after %.1f ms", id, leg, host,
+               name_of(result), took.ms());
   bool terminal = false;
   unsigned status = 200;
   if (hit.metadata && answer) {
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/detail_log.hpp"
 #include "base/limits.hpp"
 #include "base/slab.hpp"
 #include "calling/gate.hpp"
@@ -54,6 +55,8 @@
   std::uint16_t port() const { return callers_.port(); }
   std::uint16_t tls_port() const { return callers_.veiled_port(); }
   std::size_t host_places() const { return hosts_.size(); }
+  // Detailed lines on requests, attempts and calls to discovery; off at the start.
+  DetailLog& detail_log() { return detail_; }
   bool winding_down() const { return winding_down_; }
 
  private:
@@ -158,6 +161,7 @@
   std::vector<Repeats> repeats_;  // by path group
   Site site_;
   Note note_;
+  DetailLog detail_;
   std::unique_ptr<TlsDoor> tls_;  // before the connections that stand behind it
   Callers callers_;
   HostPools pools_;
