--- a/src/base/detail_log.hpp
+++ b/src/base/detail_log.hpp
@@ -2,6 +2,7 @@
 // switched on in service. A line is formatted only while they are on.
 #pragma once
 #include <algorithm>
+#include <cstdint>
 #include <cstdio>
 #include <functional>
 #include <string>
@@ -12,18 +13,28 @@
 
 namespace ashbeam {
 
+enum class LogTopic : std::uint8_t { kDiscovery = 1, kRequests = 2 };
+
 class DetailLog {
  public:
   using Write = std::function<void(std::string_view)>;
+  static constexpr std::uint8_t kAllTopics = 3;
   explicit DetailLog(Write write) : write_(std::move(write)) {}
 
-  void enable(bool on) { on_ = on; }
-  bool on() const { return on_; }
+  // `words` is a comma-separated list of "discovery" and "requests", or "all"; other words say nothing.
+  void enable(std::string_view words) {
+    const auto has = [&](std::string_view word) { return words.find(word) != std::string_view::npos; };
+    on_ = has("all") ? kAllTopics : 0;
+    if (has("discovery")) on_ |= static_cast<std::uint8_t>(LogTopic::kDiscovery);
+    if (has("requests")) on_ |= static_cast<std::uint8_t>(LogTopic::kRequests);
+  }
+  bool on() const { return on_ != 0; }
+  bool on(LogTopic topic) const { return (on_ & static_cast<std::uint8_t>(topic)) != 0; }
 
   // printf-style; lines past kMostPerSecond are counted, and the count is written once the second is over.
   template <class... Figures>
-  void line(Instant now, const char* format, Figures... figures) {
-    if (!on_ || !admit(now)) return;
+  void line(LogTopic topic, Instant now, const char* format, Figures... figures) {
+    if (!on(topic) || !admit(now)) return;
     char text[kLongest];
     const int length = std::snprintf(text, sizeof text, format, figures...);
     write_({text, static_cast<std::size_t>(std::clamp(length, 0, kLongest - 1))});
@@ -44,7 +55,7 @@
   }
 
   Write write_;
-  bool on_ = false;
+  std::uint8_t on_ = 0;
   Instant second_;
   unsigned written_ = 0, left_out_ = 0;
 };
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -23,7 +23,8 @@
 
 volatile std::sig_atomic_t stop_asked = 0, reading_asked = 0, detail_asked = 0;
 
-// Set to "detail", the log has detailed lines from the start; SIGUSR1 switches them on and off in service.
+// Topics of detailed log lines from the start, see DetailLog; SIGUSR1 switches all of them on and off in
+// service.
 constexpr const char* kLogVariable = "ASHBEAM_LOG";
 
 class Complaints : public Poco::ErrorHandler {  // no exception ends the loop
@@ -72,7 +73,7 @@
                                           [](std::string_view line) { spdlog::info("{}", line); });
   }
   const char* const log_wanted = std::getenv(kLogVariable);
-  service.detail_log().enable(log_wanted && std::string_view(log_wanted) == "detail");
+  service.detail_log().enable(log_wanted ? log_wanted : "");
   service.start();
   spdlog::info("{} serves at {}: {} path groups, router {} of {}", start.site.name, start.site.listen,
                terms.path_groups.size(), terms.me, terms.routers);
@@ -87,7 +88,7 @@
     if (detail_asked != 0) {
       detail_asked = 0;
       DetailLog& detail = service.detail_log();
-      detail.enable(!detail.on());
+      detail.enable(detail.on() ? "" : "all");
       spdlog::info("detailed lines {}", detail.on() ? "on" : "off");
     }
     if (reading_asked != 0) {
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -46,8 +46,8 @@
   older_ = false;
   version_ = at;
   any_ = true;
-  detail_.line(loop_.now(), "discovery: version %llu%s", static_cast<unsigned long long>(at),
-               *whole->truth() ? ", whole" : "");
+  detail_.line(LogTopic::kDiscovery, loop_.now(), "discovery: version %llu%s",
+               static_cast<unsigned long long>(at), *whole->truth() ? ", whole" : "");
   told_(*whole->truth(), *entries);
   return true;
 }
@@ -72,8 +72,8 @@
   ++calls_;
   bytes_ = 0;
   begun_at_ = loop_.now();
-  detail_.line(begun_at_, "discovery: call %llu to %s begins, has version %llu", calls_number(),
-               address_.c_str(), static_cast<unsigned long long>(any_ ? version_ : 0));
+  detail_.line(LogTopic::kDiscovery, begun_at_, "discovery: call %llu to %s begins, has version %llu",
+               calls_number(), address_.c_str(), static_cast<unsigned long long>(any_ ? version_ : 0));
   connection_ = std::make_unique<Connection>(loop_, limits_, *this, address_);
   std::string request = "GET /registry/instances?follow=1";
   if (any_) request += "&since=" + std::to_string(version_);
@@ -83,8 +83,9 @@
 
 // A whole line is a sign of life, bytes alone are none: a list that drips and never ends tells nothing.
 bool Discovery::line(std::string_view text) {
-  detail_.line(loop_.now(), "discovery: call %llu line of %zu bytes, after %.1f ms", calls_number(),
-               text.size(), (loop_.now() - begun_at_).ms());
+  if (!text.empty() || !stands_)
+    detail_.line(LogTopic::kDiscovery, loop_.now(), "discovery: call %llu line of %zu bytes, after %.1f ms",
+                 calls_number(), text.size(), (loop_.now() - begun_at_).ms());
   if (!text.empty() && !take(text)) return false;
   stands_ = true;
   in_place_ = 0;
@@ -103,16 +104,18 @@
 }
 
 void Discovery::opened() {
-  detail_.line(loop_.now(), "discovery: call %llu connected, after %.1f ms", calls_number(),
-               (loop_.now() - begun_at_).ms());
+  detail_.line(LogTopic::kDiscovery, loop_.now(), "discovery: call %llu connected, after %.1f ms",
+               calls_number(), (loop_.now() - begun_at_).ms());
 }
 
 void Discovery::bytes_came() {
   std::string_view bytes = connection_->unread();
   const std::size_t had = bytes.size();
   bytes_ += had;
-  detail_.line(loop_.now(), "discovery: call %llu bytes %zu, %llu in all, after %.1f ms", calls_number(), had,
-               static_cast<unsigned long long>(bytes_), (loop_.now() - begun_at_).ms());
+  if (!stands_)
+    detail_.line(LogTopic::kDiscovery, loop_.now(),
+                 "discovery: call %llu bytes %zu, %llu in all, after %.1f ms", calls_number(), had,
+                 static_cast<unsigned long long>(bytes_), (loop_.now() - begun_at_).ms());
   if (!in_body_) {
     const auto got = head_.feed(bytes);
     if (got == http::Head::Got::kMore) return connection_->take(had);
@@ -134,8 +137,9 @@
 
 void Discovery::drop(const char* why) {
   if (connection_) {
-    detail_.line(loop_.now(), "discovery: call %llu closed: %s, after %.1f ms, %llu bytes, %s",
-                 calls_number(), why, (loop_.now() - begun_at_).ms(), static_cast<unsigned long long>(bytes_),
+    detail_.line(LogTopic::kDiscovery, loop_.now(),
+                 "discovery: call %llu closed: %s, after %.1f ms, %llu bytes, %s", calls_number(), why,
+                 (loop_.now() - begun_at_).ms(), static_cast<unsigned long long>(bytes_),
                  connection_->opening() ? "not connected"
                  : stands_              ? "watch stood"
                  : in_body_             ? "line begun"
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -216,9 +216,9 @@
   const unsigned customer =
       who.caller.empty() ? index_of(door_.customers, head.find("X-Account").value_or("")) : who.customer;
   if (one_way_) hit.key = key;
-  if (detail_.on()) {
+  if (detail_.on(LogTopic::kRequests)) {
     const std::string_view id = head.find("X-Correlation-Id").value_or("");
-    detail_.line(now, "request %u taken: id %.*s class %u, time left %.0f ms", place,
+    detail_.line(LogTopic::kRequests, now, "request %u taken: id %.*s class %u, time left %.0f ms", place,
                  static_cast<int>(id.size()), id.data(), group, (give_up_at - now).ms());
   }
   tell([&](Router& r) { r.taken(place, group, customer, key, give_up_at, hint); });
@@ -300,7 +300,7 @@
 void Service::left(Caller& caller) {
   const HitId id = caller.hit;
   if (id == UINT32_MAX) return;
-  detail_.line(loop_.now(), "request %u: its client closed", id);
+  detail_.line(LogTopic::kRequests, loop_.now(), "request %u: its client closed", id);
   take_caller(id);
   abandon(id);
 }
@@ -345,7 +345,8 @@
 
 // The place is given back after the call at hand: the module may still name the hit in it.
 void Service::answer_finally(HitId id, unsigned status, std::string_view fields) {
-  detail_.line(loop_.now(), "request %u answered %u without an endpoint's answer", id, status);
+  detail_.line(LogTopic::kRequests, loop_.now(), "request %u answered %u without an endpoint's answer", id,
+               status);
   if (Caller* const caller = take_caller(id)) caller->answer_plain(status, fields);
   loop_.later([this, id] { drop_if_over(id); });
 }
@@ -393,8 +394,9 @@
     const std::int64_t left_ms = std::max<std::int64_t>(0, (end - loop_.now()).us() / 1000);
     return h.head + "X-Time-Left-Ms: " + std::to_string(left_ms) + "\r\n\r\n" + h.body;
   };
-  detail_.line(now, "request %u attempt %u to endpoint %u at %s, release %.0f, waits %.0f ms at most", id,
-               leg, host, hosts_[host].address.c_str(), hosts_[host].build, (until - now).ms());
+  detail_.line(LogTopic::kRequests, now,
+               "request %u attempt %u to endpoint %u at %s, release %.0f, waits %.0f ms at most", id, leg,
+               host, hosts_[host].address.c_str(), hosts_[host].build, (until - now).ms());
   hit.legs.push_back({host, now, nullptr});
   ++hit.out;
   ++hosts_[host].out;
@@ -420,7 +422,8 @@
   const HostIndex host = forward.host;
   --hosts_[host].out;
   const Span took = loop_.now() - forward.sent;
-  detail_.line(loop_.now(), "request %u attempt %u to endpoint %u ended: %s, after %.1f ms", id, leg, host,
+  detail_.line(LogTopic::kRequests, loop_.now(),
+               "request %u attempt %u to endpoint %u ended: %s, after %.1f ms", id, leg, host,
                name_of(result), took.ms());
   bool terminal = false;
   unsigned status = 200;
--- /dev/null
+++ b/tests/process_world.hpp
@@ -0,0 +1,197 @@
+// The program itself as a process, between fakes of our own on loopback: discovery that can be slow, crowded
+// or stall in the middle of a line, an upstream host that says when it was sent to, and a client.
+#pragma once
+#include <sys/wait.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+#include "router_world.hpp"
+
+namespace ashbeam {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+inline SteadyTime steady_now() { return std::chrono::steady_clock::now(); }
+inline double seconds_between(SteadyTime from, SteadyTime to) {
+  return std::chrono::duration<double>(to - from).count();
+}
+
+// Runs `what` again and again on a thread of its own until destroyed.
+class Background {
+ public:
+  explicit Background(std::function<void()> what)
+      : thread_([this, what = std::move(what)] {
+          while (!over_) what();
+        }) {}
+  ~Background() {
+    over_ = true;
+    thread_.join();
+  }
+
+ private:
+  std::atomic<bool> over_ = false;
+  std::thread thread_;
+};
+
+// An upstream host that answers each request at once and remembers when each came.
+class RecordingHost {
+ public:
+  std::string address() const { return door_.address(); }
+  std::vector<SteadyTime> requests() const {
+    const std::lock_guard lock(mutex_);
+    return requests_;
+  }
+  std::size_t later_than(SteadyTime when) const {
+    const std::vector<SteadyTime> all = requests();
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [&](SteadyTime t) { return t > when; }));
+  }
+  // From now on requests are turned away, as by a server that drains.
+  void drain() { draining_ = true; }
+
+ private:
+  void serve() {
+    std::vector<pollfd> in{{door_.fd, POLLIN, 0}};
+    for (const Stream& stream : streams_) in.push_back({stream.fd, POLLIN, 0});
+    if (::poll(in.data(), in.size(), kLookMs) <= 0) return;
+    for (std::size_t i = streams_.size(); i-- > 0;) {
+      if (in[i + 1].revents == 0) continue;
+      if (streams_[i].message(kLookMs).empty()) {
+        streams_.erase(streams_.begin() + static_cast<std::ptrdiff_t>(i));
+        continue;
+      }
+      const std::lock_guard lock(mutex_);
+      requests_.push_back(steady_now());
+      streams_[i].say(draining_ ? status_line("503", "X-Unprocessed: 1\r\n") : kOk);
+    }
+    if (in[0].revents != 0) streams_.push_back(door_.take());
+  }
+  static constexpr int kLookMs = 5;
+  Door door_;
+  mutable std::mutex mutex_;
+  std::vector<SteadyTime> requests_;
+  std::atomic<bool> draining_ = false;
+  std::vector<Stream> streams_;
+  Background background_{[this] { serve(); }};
+};
+
+// Discovery that lets each call wait and then turns it away, as one with too many callers does; its patience
+// with a call is the page's.
+class CrowdedDiscovery {
+ public:
+  std::string address() const { return door_.address(); }
+  std::size_t calls() const { return calls_; }
+
+ private:
+  void serve() {
+    while (door_.asked(0)) waiting_.emplace_back(steady_now() + kPatience, door_.take()), ++calls_;
+    while (!waiting_.empty() && waiting_.front().first <= steady_now()) {
+      waiting_.front().second.say(status_line("503"));
+      waiting_.erase(waiting_.begin());
+    }
+    usleep(2000);
+  }
+  static constexpr std::chrono::milliseconds kPatience{2000};
+  Door door_;
+  std::atomic<std::size_t> calls_ = 0;
+  std::vector<std::pair<SteadyTime, Stream>> waiting_;
+  Background background_{[this] { serve(); }};
+};
+
+// A client that asks for one thing after another on kept connections, and remembers each answer's status.
+class SteadyClient {
+ public:
+  explicit SteadyClient(std::uint16_t port) : port_(port) {}
+  struct Answer {
+    SteadyTime asked, answered;
+    unsigned status = 0;
+  };
+  std::vector<Answer> answers() const {
+    const std::lock_guard lock(mutex_);
+    return answers_;
+  }
+
+ private:
+  void ask() {
+    if (stream_.fd < 0) stream_ = connect();
+    const SteadyTime asked = steady_now();
+    stream_.say(get(1500));
+    const std::string answer = stream_.message(2500);
+    if (answer.empty() || answer.find("Connection: close") != std::string::npos) stream_.shut();
+    {
+      const std::lock_guard lock(mutex_);
+      answers_.push_back({asked, steady_now(), status_of(answer)});
+    }
+    usleep(20000);
+  }
+  Stream connect() const {
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(port_);
+    ::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
+    return Stream(fd);
+  }
+  std::uint16_t port_;
+  Stream stream_{-1};
+  mutable std::mutex mutex_;
+  std::vector<Answer> answers_;
+  Background background_{[this] { ask(); }};
+};
+
+// The program as a process of its own, from docs/example.json with what `change` makes of it.
+class RouterProcess {
+ public:
+  RouterProcess(const std::string& discovery, const std::function<void(nlohmann::json&)>& change)
+      : port_(Door().port()) {
+    std::ifstream example(ASHBEAM_EXAMPLE);
+    nlohmann::json configuration = nlohmann::json::parse(example);
+    change(configuration);
+    const int file = ::mkstemp(path_.data());
+    const std::string text = configuration.dump();
+    EXPECT_EQ(::write(file, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+    ::close(file);
+    started_ = steady_now();
+    pid_ = ::fork();
+    if (pid_ != 0) return;
+    const std::string listen = "127.0.0.1:" + std::to_string(port_);
+    ::setenv("PROXY_NAME", "n0", 1);
+    ::setenv("PROXY_LISTEN", listen.c_str(), 1);
+    ::setenv("PROXY_DISCOVERY", discovery.c_str(), 1);
+    ::setenv("PROXY_CONFIG", path_.c_str(), 1);
+    ::execl(ASHBEAM_PROGRAM, ASHBEAM_PROGRAM, nullptr);
+    ::_exit(127);
+  }
+  ~RouterProcess() {
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+    ::unlink(path_.c_str());
+  }
+  RouterProcess(const RouterProcess&) = delete;
+  RouterProcess& operator=(const RouterProcess&) = delete;
+  std::uint16_t port() const { return port_; }
+  SteadyTime started() const { return started_; }
+
+ private:
+  std::uint16_t port_;
+  std::string path_ = testing::TempDir() + "router.XXXXXX";
+  SteadyTime started_;
+  pid_t pid_ = -1;
+};
+
+inline nlohmann::json listed_endpoint(const std::string& uid, const std::string& address,
+                                      const std::string& state = "up") {
+  return {{"uid", uid},       {"endpoint", address},  {"az", "one"},
+          {"model", "usual"}, {"pod_group", 1},       {"state", state},
+          {"release", 1},     {"capacity_hint", 1.0}, {"boot_ms", 0}};
+}
+
+inline void sleep_until(SteadyTime when) { std::this_thread::sleep_until(when); }
+
+}  // namespace ashbeam
