The endpoint list is a lease: past it, only endpoints that vouch for themselves are sent to

Cause: a list once had was good for ever. A process started anew served from the list of its configuration while discovery turned its calls away; a change counts as notified 6 s after discovery had it. A line that began and stalled was taken for silence for 2.5 s, though it counts as notified from its first byte.

Change: src/policy/endpoint_lease says until when attempts may begin without news; each whole line renews it, a line begun bounds it, connections refused by discovery carry a running lease on. The guard of every attempt asks it. An endpoint that answers on a connection older than the last confirmation may be sent to for as long again. Past that, requests are refused at once. A stalled line is asked for again after 0.4 s. First calls are jittered over 4 s in place of 2 s (0.6 s at 30 processes), calls that keep failing over longer spans: discovery works off calls that timed out as well. Ready without a list after 5.5 s in place of 4 s, and then refusing. Each change of the lease's state is logged with its reason.

The lease agrees with a plain model on 100,000 generated histories.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -45,10 +45,19 @@
   Span discovery_silence = Span::ms(2500);
   Span discovery_first_line = Span::ms(1500);  // of a watch begun in place of a silent one
   Span discovery_call = Span::ms(4500);        // of any other: discovery may let a call wait for its turn
-  // After the start, by lot: many routers may have been started anew at once, and calls that wait too long at
-  // discovery cost it as much as those that it serves. The settings say how many it bears.
+  // Without a byte in the middle of a line: what has begun counts as notified, and the grace runs. Longer
+  // than one retransmission takes (RFC 6298: 0.2 s here).
+  Span discovery_stall = Span::ms(400);
+  // After the start, jittered: many routers may have been started anew at once, and calls that wait too long
+  // at discovery cost it as much as those that it serves.
   Span first_ask;
-  Span first_list = Span::s(4);  // after the start; ready then without
+  // After the start; ready then without a list: nine in ten restarted routers have to be ready within 6 s.
+  Span first_list = Span::ms(5500);
+  // How long the list of the configuration may be sent to before discovery confirms it: nothing says how old
+  // it is.
+  Span known_list;
+  // For which a router may be held up between reading its clock and writing, and a first byte on its way.
+  Span held_up = Span::ms(150), on_its_way = Span::ms(50);
   Span desk_connect = Span::s(1);
   Span desk_silence = Span::ms(3500);  // a ping comes every second
   Span desk_answer = Span::s(2);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -19,6 +19,7 @@
 #include "base/recent.hpp"
 #include "base/slab.hpp"
 #include "base/sliding_count.hpp"
+#include "policy/call_pacing.hpp"
 
 namespace ashbeam {
 namespace {
@@ -42,7 +43,7 @@
 constexpr double kGoodFails = 0.02, kSickMore = 0.4, kEject = 5, kTrust = -2;
 constexpr Span kFirstRest = Span::s(1), kLongestRest = Span::s(8);
 constexpr double kMostEjected = 0.4;  // beyond this part of every zone's the cause is not the hosts
-constexpr Span kFirstAskWait = Span::ms(300), kLongestAsk = Span::s(3);
+constexpr Span kLongestAsk = Span::s(3);
 constexpr Span kBeat = Span::ms(20), kJudgeEvery = Span::ms(250), kFinish = Span::ms(26);
 constexpr double kFurtherPart = 0.2, kFurtherMost = 60;  // the budget of few routers in all
 constexpr double kCopyCost = 4;                          // of that budget: a copy is work done twice
@@ -78,7 +79,8 @@
   BuildId build = 0;
   unsigned zone = 0, cell = 0, kind = 0;
   Instant last_start, last_heard, last_ok, unheard_since, rest_until;
-  Instant dead_at;  // when it last refused a connection, or none came up
+  Instant dead_at;      // when it last refused a connection, or none came up
+  Instant valid_until;  // by its own answers, see host_valid
   Span rest = kFirstRest;
   unsigned open = 0;
   Speed speed;           // see unit_ms()
@@ -160,7 +162,7 @@
         max_forwards_(std::min(t.max_forwards, kMostLegs)), must_ask_(t.must_ask), may_cancel_(t.may_cancel),
         may_copy_(t.may_copy), by_group_(t.by_path_group), one_way_(t.one_way), clocked_(t.clocked),
         rolling_(t.rolling), longest_retry_after_(t.longest_retry_after),
-        longest_ask_(std::min(t.ask_within, kLongestAsk)), cold_window_(t.cold_window),
+        calls_for_list_(std::min(t.ask_within, kLongestAsk)), cold_window_(t.cold_window),
         warm_after_(t.warm_after), tick_(t.tick), window_(t.window), vote_life_(t.vote_life),
         vote_round_(Span::s(t.routers / std::max(t.votes_per_s, 1.0))),
         back_round_(Span::s(t.back_needed / std::max(t.votes_per_s, 1.0))), start_capacity_(t.start_capacity),
@@ -195,7 +197,7 @@
   }
 
   void list_begin(bool whole) override {
-    ask_wait_ = kFirstAskWait;  // not at list_end: news of a stage ends there too, again and again
+    calls_for_list_.succeeded();  // not at list_end: news of a stage ends there too, again and again
     for (Host& host : hosts_) host.in_list = !whole && host.in_list;
   }
 
@@ -237,12 +239,13 @@
     }
   }
 
-  // The list could not be had: the old one stands; ask again, not all routers at once, and soon enough that a
-  // change is had before it counts as told (6 s). Guards against calls that only wait to fail, and cost
-  // discovery as much as those that it serves. A watch that was lost alone is had again at once.
-  void list_failed() override {
-    sink_.wake(ask_wait_ * (0.5 + chance_.unit()), kAskToken);
-    ask_wait_ = longest_ask_;
+  // The list could not be had: the old one stands for as long as it is valid.
+  void list_failed() override { sink_.wake(calls_for_list_.wait_after_failure(chance_.unit()), kAskToken); }
+
+  void list_valid(const ListValidity& validity) override { list_validity_ = validity; }
+
+  void host_valid(HostIndex h, Instant until) override {
+    if (h < hosts_.size()) hosts_[h].valid_until = std::max(hosts_[h].valid_until, until);
   }
 
   void stage_told(BuildId build, unsigned stage, Phase phase, bool answers_vote, Answer answer, double cap,
@@ -292,7 +295,7 @@
   void learn(Hit& hit, const Forward& f, Result result, Span took) {
     Host& host = hosts_[f.host];
     GroupFigures& group = groups_[hit.group];
-    if (result == Result::kFull || result == Result::kMoot) return;
+    if (result == Result::kFull || result == Result::kMoot || result == Result::kLocal) return;
     if (f.sent < host.last_start || f.build != host.build) return;  // of another process
     if (result == Result::kNoConnect || result == Result::kReset) last_trouble_ = now_;
     if (result == Result::kNoConnect) {
@@ -779,7 +782,8 @@
     if (!to) {
       // No host may have it now. It waits only while an answer could still be in time.
       const bool hope = groups_[hit.group].repeats == Repeats::kRepeatable || !may_have_run(hit);
-      if (!hope || left <= groups_[hit.group].mean_ms * 1.5 || ready_ == 0) return give_up(hit);
+      if (!hope || left <= groups_[hit.group].mean_ms * 1.5 || ready_ == 0 || now_ >= list_validity_.any_host)
+        return give_up(hit);
       hit.due = now_ + kBeat;
       hit.at_due = &Choice::route;
       return;
@@ -824,9 +828,14 @@
     send(hit, to, true);
   }
 
-  void after_forward(Hit& hit, Result) {
+  void after_forward(Hit& hit, Result result) {
     if (any_out(hit)) return;  // a copy is still on its way
     const bool in_time = now_ + Span::ms(groups_[hit.group].mean_ms * 0.5) < hit.give_up_at;
+    if (result == Result::kLocal && in_time && hit.legs < max_forwards_) {
+      // It never left: no part of the retry budget, and a moment for this machine to recover.
+      hit.due = now_ + kBeat, hit.at_due = &Choice::route;
+      return;
+    }
     if (!in_time || hit.legs >= max_forwards_ || further_ < 1 || hit.blamed == kExcused) return give_up(hit);
     further_ -= 1;
     route(hit);
@@ -867,7 +876,8 @@
     if (leg >= hit.legs || !hit.leg[leg].out) return;
     Forward& f = hit.leg[leg];
     f.out = false;
-    f.may_have_run = result != Result::kFull && result != Result::kNoConnect && result != Result::kMoot;
+    f.may_have_run = result != Result::kFull && result != Result::kNoConnect && result != Result::kMoot &&
+                     result != Result::kLocal;
     Host& host = hosts_[h];
     host.open -= host.open > 0;
     if (result < Result::kTimeout) host.last_heard = now_;  // what we ended ourselves is no sign of life
@@ -1005,11 +1015,17 @@
     return young ? unsure_ * able(born_) * fair_part_ : kNoBound;
   }
 
+  // Guards against hosts that drained unheard of: a change counts as notified whether or not it arrived.
+  bool news_allows(const Host& host) const {
+    return now_ < list_validity_.no_host && now_ < std::max(list_validity_.any_host, host.valid_until);
+  }
+
   // The one place that says whether a forward is allowed.
   bool may_forward(const Hit& hit, HostIndex h, double share) {
     Host& host = hosts_[h];
     if (hit.done || host.state != HostState::kReady) return false;
     if (now_ >= hit.give_up_at || hit.legs >= max_forwards_) return false;
+    if (!news_allows(host)) return false;
     const GroupFigures& group = groups_[hit.group];
     for (unsigned i = 0; i < hit.legs; ++i) {
       const Forward& f = hit.leg[i];
@@ -1071,8 +1087,9 @@
   std::vector<Customer> customers_;
   unsigned zone_, kinds_, max_forwards_;
   bool must_ask_, may_cancel_, may_copy_, by_group_, one_way_, clocked_, rolling_;
-  Span longest_retry_after_, longest_ask_, cold_window_, warm_after_, tick_, window_, vote_life_, vote_round_,
-      back_round_;
+  Span longest_retry_after_;
+  policy::CallPacing calls_for_list_;
+  Span cold_window_, warm_after_, tick_, window_, vote_life_, vote_round_, back_round_;
   double fair_per_s_ = 0, unsure_ = 1, even_ = 0;  // even_: of all hits, at the last beat
   // In a cold window: our part of what a host is known to do, and the bound on any host while we are young.
   double fair_part_ = kNoBound, young_part_ = kNoBound;
@@ -1087,7 +1104,7 @@
   std::vector<Kind> kind_;
   std::vector<Zone> zones_;
   std::vector<Speed> speeds_;  // by zone and kind of machine
-  Span ask_wait_ = kFirstAskWait;
+  ListValidity list_validity_;
   std::size_t ready_ = 0, most_ready_ = 0;
   bool many_out_ = false;
   // The build on trial.
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -19,7 +19,18 @@
 enum class Repeats : std::uint8_t { kRepeatable, kTagged, kMutating };
 enum class DropGroup : std::uint8_t { kAll, kZone, kCell };  // which hosts drop a tagged hit's repeats
 enum class HostState : std::uint8_t { kGone, kReady, kDraining };
-enum class Result : std::uint8_t { kOk, kError, kFull, kTimeout, kNoConnect, kReset, kCancelled, kMoot };
+// kLocal: this machine could not make the connection; it never left, and says nothing about the host.
+enum class Result : std::uint8_t {
+  kOk,
+  kError,
+  kFull,
+  kTimeout,
+  kNoConnect,
+  kReset,
+  kCancelled,
+  kMoot,
+  kLocal
+};
 enum class Phase : std::uint8_t { kTrial, kReverting, kReleased, kWithdrawn };
 enum class Vote : std::uint8_t { kNone, kOn, kHold, kBack };
 enum class Answer : std::uint8_t { kTaken, kVoid, kFull, kFailed, kUnknown };  // what became of a vote
@@ -55,6 +66,12 @@
   double votes_per_s = 1, reported_share = 0, tally_sample = 1;
 };
 
+// Until when attempts may begin without further news of the list, see policy/endpoint_lease.hpp.
+struct ListValidity {
+  Instant any_host = Instant::never();  // to any host of the list
+  Instant no_host = Instant::never();   // not even to one that vouches for itself later than this
+};
+
 // What the router does. Every call takes effect at the time of the event that is being handled.
 class Sink {
  public:
@@ -83,6 +100,9 @@
                          unsigned kind, Instant last_start) = 0;
   virtual void list_end() = 0;
   virtual void list_failed() = 0;
+  virtual void list_valid(const ListValidity&) {}
+  // An answer shows that the host may be sent to until then, whatever the list's validity is.
+  virtual void host_valid(HostIndex, Instant /*until*/) {}
   virtual void taken(HitId hit, unsigned path_group, unsigned customer, std::uint64_t key, Instant give_up_at,
                      double work_hint_ms) = 0;
   virtual void ended(HitId hit, unsigned leg, HostIndex host, Result result, Span took, bool terminal,
--- /dev/null
+++ b/src/policy/call_pacing.hpp
@@ -0,0 +1,35 @@
+// When the next call to a service that many processes call is made after one that failed.
+//
+// Job: a first retry soon, since a call may fail by accident; then waits that keep the calls of all processes
+// below what the service works off, and longer ones where it stays crowded: calls that wait until they are
+// turned away cost it as much as those that it serves. Waits are jittered, so that processes that failed
+// together do not call together. Units: spans of real time. No I/O; random numbers are an argument, in [0,
+// 1). Source: exponential backoff with jitter; retry storms and metastable failures (Bronson et al., HotOS
+// 2021).
+#pragma once
+#include <array>
+#include <cstddef>
+
+#include "base/time.hpp"
+
+namespace ashbeam::policy {
+
+class CallPacing {
+ public:
+  // `usual`: the mean wait before the second retry.
+  explicit CallPacing(Span usual) : waits_{kFirst, usual, usual, usual * 2} {}
+
+  void succeeded() { failed_ = 0; }
+  Span wait_after_failure(double chance) {
+    const Span mean = waits_[failed_];
+    if (failed_ + 1 < waits_.size()) ++failed_;
+    return mean * (0.5 + chance);
+  }
+
+ private:
+  static constexpr Span kFirst = Span::ms(300);
+  std::array<Span, 4> waits_;
+  std::size_t failed_ = 0;
+};
+
+}  // namespace ashbeam::policy
--- a/src/program/environment.cpp
+++ b/src/program/environment.cpp
@@ -110,9 +110,11 @@
         std::max(limits.stop_at_latest, g.client_timeout + limits.stop_accepting + Span::ms(250));
     longest = std::max(longest, g.client_timeout);
   }
-  // A fifth of the time within which the settings have each router ask once, 2 s at the most; few take none.
+  // Two fifths of the time within which the settings have each router ask once, 4 s at the most: then
+  // processes that start together do not fill discovery's queue. One alone takes none.
+  constexpr double kManyRouters = 10;
   limits.first_ask =
-      std::min(terms.ask_within * 0.2, Span::s(2)) * std::min(1.0, (terms.routers - 1) / 100.0);
+      std::min(terms.ask_within * 0.4, Span::s(4)) * std::min(1.0, (terms.routers - 1) / kManyRouters);
   limits.killed_soonest = std::min(longest, Span::s(3)) + Span::ms(700);
   return limits;
 }
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -72,6 +72,11 @@
   // Takes from the front what belongs to it and appends that to `raw`, and what it says to `plain`, if given.
   Got feed(std::string_view& bytes, std::string& raw, std::string* plain = nullptr);
   bool ends_with_stream() const { return kind_ == Kind::kUntilEnd; }
+  // Is a chunk begun whose last byte is not here yet?
+  bool begun() const {
+    const bool sized = at_ == At::kExtension || at_ == At::kSizeEnd || at_ == At::kData;
+    return kind_ == Kind::kChunks && (sized || (at_ == At::kSize && digits_ > 0));
+  }
 
  private:
   enum class Kind { kLength, kChunks, kUntilEnd };
--- a/src/protocol/lines.hpp
+++ b/src/protocol/lines.hpp
@@ -28,6 +28,7 @@
     return true;
   }
   void clear() { held_.clear(); }
+  bool begun() const { return !held_.empty(); }  // a line without its end yet
 
  private:
   std::size_t most_;
--- a/src/routing/host_pools.cpp
+++ b/src/routing/host_pools.cpp
@@ -20,6 +20,7 @@
   bool written() const { return !bytes_ && !connection_.unwritten(); }
   bool usable() const { return connection_.quiet(); }
   Instant idle_since() const { return idle_since_; }
+  Instant opened_at() const { return opened_at_; }
   void let_go() { keep_ = false; }
   void shut() { timer_.off(), connection_.close(); }  // no callback comes after this
   std::size_t place() const { return place_; }
@@ -44,9 +45,13 @@
   }
 
   // What is not written whole has not run.
-  Result unless_unwritten(Result result) const { return written() ? result : Result::kNoConnect; }
+  Result unless_unwritten(Result result) const {
+    if (written()) return result;
+    return connection_.failure() == Failure::kLocal ? Result::kLocal : Result::kNoConnect;
+  }
 
   void opened() override {
+    opened_at_ = pools_.loop_.now();
     if (!waiting()) return;
     timer_.at(until_);
     connection_.write(std::exchange(bytes_, nullptr)(until_));
@@ -102,7 +107,7 @@
   Timer timer_;
   Next next_;
   Bytes bytes_;  // until the connection is there
-  Instant until_, idle_since_;
+  Instant until_, idle_since_, opened_at_ = Instant::never();
   bool keep_ = true;
 };
 
@@ -111,6 +116,8 @@
 
 HostPools::~HostPools() = default;
 
+Instant HostPools::opened_at(const Link* link) { return link ? link->opened_at() : Instant::never(); }
+
 void HostPools::place(HostIndex h, const std::string& address, bool fresh, bool takes_more) {
   if (h >= hosts_.size()) hosts_.resize(h + 1);
   hosts_[h].address = address;
--- a/src/routing/host_pools.hpp
+++ b/src/routing/host_pools.hpp
@@ -36,6 +36,8 @@
   // Ends a forward that is not written whole as moot, since it has never run: `next` is told after this
   // returns, and the link must not be named again. False, and nothing done, where it is too late.
   bool recall(Link* link);
+  // When the connection opened; far in the future where it has not.
+  static Instant opened_at(const Link* link);
   Span connect() const { return connect_; }
 
  private:
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -85,8 +85,8 @@
 }
 
 const char* name_of(Result result) {
-  constexpr std::array kNames{"ok",         "error", "turned away", "timeout",
-                              "no connect", "reset", "cancelled",   "cancelled before sent"};
+  constexpr std::array kNames{"ok",    "error",     "turned away",           "timeout",      "no connect",
+                              "reset", "cancelled", "cancelled before sent", "local failure"};
   const auto at = static_cast<std::size_t>(result);
   return at < kNames.size() ? kNames[at] : "unknown";
 }
@@ -107,11 +107,10 @@
           loop, limits, site.listen, [this](Caller& c, http::Messages& m) { came(c, m); },
           [this](Caller& c) { left(c); }, [this](Caller& c) { overdue(c.hit); }),
       pools_(loop, limits, std::min(limits.connect, terms.drain_grace * 0.5)),
-      discovery_(
-          loop, limits, site.discovery, detail_, [this](bool whole, const Json& e) { listed(whole, e); },
-          [this](const char* why, bool again) { list_lost(why, again); }),
-      one_way_(terms.one_way), ids_(limits.ids), first_ask_(loop, [this] { follow_list(); }),
-      listed_ready_(loop, [this] { now_ready(); }), stop_(loop, [this] { check_wound_down(); }),
+      lease_(lease_terms(limits, terms, pools_.connect())),
+      discovery_(loop, limits, site.discovery, detail_, *this), one_way_(terms.one_way), ids_(limits.ids),
+      first_ask_(loop, [this] { follow_list(); }), listed_ready_(loop, [this] { ready_without_list(); }),
+      lease_over_(loop, [this] { lease_changed("no news"); }), stop_(loop, [this] { check_wound_down(); }),
       refused_(loop, [this] { tell_refused(); }), zones_(door.zones, "zones"), kinds_(door.kinds, "kinds"),
       module_(make_router(on_sockets(terms, pools_.connect()), site.seed, *this)) {
   for (const PathGroup& g : terms.path_groups) repeats_.push_back(g.repeats);
@@ -123,6 +122,8 @@
   listed_ready_.in(limits_.first_list);
   tell([](Router& r) { r.started(); });
   if (!site_.known.empty() && !discovery_.take(site_.known)) note_("known list can't be read");
+  known_until_ = loop_.now() + limits_.known_list;
+  lease_changed("started");
   if (const auto news = Json::parse(site_.news)) stage(*news, false);
   // On sockets nobody sends the list unasked, whatever the settings say of how it comes elsewhere.
   open_desk();
@@ -130,6 +131,11 @@
   first_ask_.in(limits_.first_ask * Pcg(site_.seed).unit());
 }
 
+void Service::ready_without_list() {
+  note_("ready without a list from discovery");
+  now_ready();
+}
+
 // Ready means that it can serve: with the list as it stands now, since what discovery has told the machine
 // counts from a process' first moment, and the list in the configuration may be old.
 void Service::now_ready() {
@@ -417,11 +423,14 @@
 void Service::forward_ended(HitId id, unsigned leg, Result result, const http::Messages* answer) {
   Hit& hit = hits_[id];
   Leg& forward = hit.legs[leg];
+  const Instant opened = HostPools::opened_at(forward.link);
   forward.link = nullptr;
   --hit.out;
   const HostIndex host = forward.host;
   --hosts_[host].out;
   const Span took = loop_.now() - forward.sent;
+  if (result == Result::kOk && lease_.vouches(opened))
+    tell([&](Router& r) { r.host_valid(host, lease_.valid_after_answer(forward.sent)); });
   detail_.line(LogTopic::kRequests, loop_.now(),
                "request %u attempt %u to endpoint %u ended: %s, after %.1f ms", id, leg, host,
                name_of(result), took.ms());
@@ -507,9 +516,48 @@
   forget_hosts();
   if (watch_tries_ > 0) note_("discovery: watch stands again, tries " + std::to_string(watch_tries_));
   watch_tries_ = 0;
+}
+
+policy::EndpointLeaseTerms Service::lease_terms(const Limits& limits, const Terms& terms, Span connect) {
+  policy::EndpointLeaseTerms lease;
+  if (terms.must_ask) lease.notified_within = std::min(lease.notified_within, terms.ask_within);
+  lease.drain_grace = terms.drain_grace;
+  lease.send_delay = connect + limits.held_up + limits.on_its_way;
+  return lease;
+}
+
+void Service::list_confirmed() {
+  lease_.confirmed(loop_.now());
+  lease_changed("confirmed");
   if (started_ && !ready_) now_ready();
 }
 
+void Service::list_begun() {
+  lease_.line_begun(loop_.now());
+  publish_lease();
+}
+
+// The decisions hear of it at once; a change of state is logged with its reason.
+void Service::lease_changed(const char* why) {
+  publish_lease();
+  const policy::LeaseState state = lease_.state(loop_.now());
+  if (state == lease_state_) return;
+  lease_state_ = state;
+  if (state == policy::LeaseState::kFresh) return note_("endpoint list: fresh");
+  const Span age = loop_.now() - lease_.confirmed_at();
+  const std::string since = age < Span::s(1e6) ? std::to_string(age.us() / 1000) + " ms ago" : "never";
+  note_(std::string("endpoint list: ") + policy::name_of(state) + ", " + why + ", last confirmed " + since);
+}
+
+void Service::publish_lease() {
+  ListValidity validity;
+  validity.any_host = std::max(lease_.valid_until(), known_until_);
+  validity.no_host = lease_.pending_until();
+  tell([&](Router& r) { r.list_valid(validity); });
+  if (validity.any_host > loop_.now()) lease_over_.at(validity.any_host);
+  else lease_over_.off();
+}
+
 // Guards against a fleet whose ids are always new: the places of hosts long gone are used again.
 void Service::forget_hosts() {
   const Instant long_ago = loop_.now() - limits_.host_forgotten;
@@ -573,7 +621,10 @@
   });
 }
 
-void Service::list_lost(const char* why, bool again) {
+void Service::list_lost(const char* why, bool again, bool refused) {
+  lease_.watch_lost();
+  if (refused) lease_.unreachable(loop_.now());
+  lease_changed(why);
   if (watch_tries_++ == 0) note_(std::string("discovery: watch ") + why);
   if (!again) tell([](Router& r) { r.list_failed(); });
 }
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -14,6 +14,7 @@
 #include "calling/gate.hpp"
 #include "choice.hpp"
 #include "metadata/warden.hpp"
+#include "policy/endpoint_lease.hpp"
 #include "routing/callers.hpp"
 #include "routing/desk.hpp"
 #include "routing/discovery.hpp"
@@ -32,7 +33,7 @@
   std::string known, news;  // JSON in discovery's and the release desk's forms, or empty
 };
 
-class Service : private Sink {
+class Service : private Sink, private Discovery::Events {
  public:
   using Note = std::function<void(std::string_view)>;  // a log line
   Service(Loop& loop, const Limits& limits, const Terms& terms, const DoorTerms& door, const Site& site,
@@ -132,10 +133,15 @@
   void left(Caller& caller);
   void forward_ended(HitId id, unsigned leg, Result result, const http::Messages* answer);
   void recall_earlier(std::uint64_t key, double build);
-  void listed(bool whole, const Json& entries);
+  void listed(bool whole, const Json& entries) override;
+  void list_confirmed() override;
+  void list_begun() override;
+  void list_lost(const char* why, bool again, bool refused) override;
+  static policy::EndpointLeaseTerms lease_terms(const Limits& limits, const Terms& terms, Span connect);
+  void lease_changed(const char* why);
+  void publish_lease();
   void list_entry(const Json& entry);
   void forget_hosts();
-  void list_lost(const char* why, bool again);
   bool desk_said(const std::string& method, const Json& params);
   bool stage(const Json& state, bool answers_vote);
   bool vote_answered(Answer answer, const Json* state);
@@ -153,6 +159,7 @@
   void drop_if_over(HitId id);
   std::span<const float> report(const http::Messages* answer);
   void check_wound_down();
+  void ready_without_list();
   void now_ready();
 
   Loop& loop_;
@@ -165,6 +172,9 @@
   std::unique_ptr<TlsDoor> tls_;  // before the connections that stand behind it
   Callers callers_;
   HostPools pools_;
+  policy::EndpointLease lease_;
+  policy::LeaseState lease_state_ = policy::LeaseState::kExpired;  // as last logged
+  Instant known_until_;
   Discovery discovery_;
   std::unique_ptr<Desk> desk_;
   std::vector<std::unique_ptr<Desk>> retired_;  // of former addresses, until their votes are answered
@@ -181,7 +191,7 @@
   unsigned watch_tries_ = 0;  // since it was lost
   std::string doubted_;       // news of an unknown kind, met once
   bool started_ = false, ready_ = false, winding_down_ = false;
-  Timer first_ask_, listed_ready_;
+  Timer first_ask_, listed_ready_, lease_over_;
   Instant stop_at_;
   Timer stop_;
   std::function<void()> wound_down_;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <charconv>
@@ -19,6 +20,8 @@
 using Poco::Net::ReadableNotification;
 using Poco::Net::WritableNotification;
 
+constexpr int kOpenAttempts = 2;
+
 class Accepted : public Poco::Net::StreamSocket {  // POCO keeps this constructor for derived classes
  public:
   explicit Accepted(int fd) : StreamSocket(new Poco::Net::StreamSocketImpl(fd)) {}
@@ -52,12 +55,29 @@
                        MakeVeil veil)
     : loop_(loop), limits_(limits), owner_(owner), make_veil_(std::move(veil)) {
   try {
-    socket_.connectNB(numeric(address));
-    socket_.setNoDelay(true);
-    watch(false, true);
+    open(address);
   } catch (const Poco::Exception&) {
-    end();
+    end(Failure::kLocal);
+  }
+}
+
+// EINTR goes on by itself, as EINPROGRESS does. What this machine has run out of for a moment is asked for
+// once more at once: it says nothing about the other side, and its owner is told only if that fails as well.
+void Connection::open(const std::string& address) {
+  const Poco::Net::SocketAddress to = numeric(address);
+  int error = 0;
+  for (int attempt = 0; attempt < kOpenAttempts; ++attempt) {
+    const int fd = ::socket(to.af(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd >= 0 && (::connect(fd, to.addr(), to.length()) == 0 || errno == EINPROGRESS || errno == EINTR)) {
+      socket_ = Accepted(fd);
+      socket_.setNoDelay(true);
+      return watch(false, true);
+    }
+    error = errno;
+    if (fd >= 0) ::close(fd);
+    if (failure_at_once(error) != Failure::kLocal) break;
   }
+  end(failure_at_once(error));
 }
 
 Connection::Connection(Loop& loop, const Limits& limits, Owner& owner, int accepted,
@@ -148,7 +168,7 @@
     int error = 0;
     socklen_t size = sizeof error;
     ::getsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_ERROR, &error, &size);
-    if (error != 0) return end();
+    if (error != 0) return end(failure_of_pending(error));
     if (make_veil_) {
       veil_ = make_veil_(socket_.impl()->sockfd());
       state_ = State::kShaking;
@@ -197,7 +217,8 @@
 }
 
 // The owner hears of it after the call at hand.
-void Connection::end() {
+void Connection::end(Failure why) {
+  if (broken_) failure_ = why;
   state_ = State::kEnded;
   watch(false, false);
   loop_.later([this, alive = std::weak_ptr<int>(alive_)] {
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "base/limits.hpp"
+#include "transport/failure.hpp"
 #include "transport/loop.hpp"
 #include "transport/veil.hpp"
 
@@ -50,6 +51,8 @@
   void discard();                      // whatever else comes is dropped unseen, up to the end
   // Once ended: not by the other side in order, so what came may not be all.
   bool broken() const { return broken_; }
+  // Once ended: what ended it, or kept it from opening.
+  Failure failure() const { return failure_; }
   bool discarded() const { return discarded_; }  // has anything been?
   void close();                                  // no callback comes after this
   // Has the other side closed, or sent something unasked? Looks at the socket itself, not at what was read.
@@ -69,7 +72,8 @@
   void flush();
   void shake();
   void read_held();
-  void end();
+  void open(const std::string& address);
+  void end(Failure why = Failure::kBroken);
 
   Loop& loop_;
   const Limits& limits_;
@@ -78,6 +82,7 @@
   State state_ = State::kOpening;
   bool was_open_ = false, reading_ = false, writing_ = false, watched_ = false, discarding_ = false,
        discarded_ = false, broken_ = true;
+  Failure failure_ = Failure::kNone;
   std::string in_, out_;
   std::size_t taken_ = 0, written_ = 0;
   MakeVeil make_veil_;                                     // until the socket is open
--- /dev/null
+++ b/src/transport/failure.hpp
@@ -0,0 +1,23 @@
+// Why a connection could not be made or did not last: what this machine refused, told apart from what the
+// other side did. An error of this machine (no descriptor, no port, no memory, no route) says nothing about
+// the other one. Source: socket(7), connect(2), send(2) and recv(2) of Linux.
+#pragma once
+#include <cstdint>
+
+namespace ashbeam {
+
+enum class Failure : std::uint8_t {
+  kNone,
+  kLocal,        // by this machine, before anything left it
+  kRefused,      // the other machine is there, and nobody listens
+  kUnreachable,  // nothing came back
+  kBroken,       // a connection that stood was reset or timed out
+};
+const char* name_of(Failure failure);
+
+// An error that socket() or connect() returned at once.
+Failure failure_at_once(int error);
+// An error that a pending connection ended with.
+Failure failure_of_pending(int error);
+
+}  // namespace ashbeam
--- /dev/null
+++ b/tests/endpoint_lease_test.cpp
@@ -0,0 +1,181 @@
+// The lease on the endpoint list, alone and against a plain model that computes from a written history when
+// each change counts as notified.
+#include "policy/endpoint_lease.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <vector>
+
+#include "base/pcg.hpp"
+
+namespace ashbeam::policy {
+namespace {
+
+// Of the lease's delay, 50 ms are for a first byte on its way from discovery.
+constexpr Span kGrace = Span::s(1), kSendDelay = Span::ms(450), kNotifiedWithin = Span::s(6);
+constexpr Span kLongestOnItsWay = Span::ms(50);
+EndpointLeaseTerms usual_terms() { return {kNotifiedWithin, kGrace, kSendDelay}; }
+Instant at(double seconds) { return Instant::at_us(0) + Span::s(seconds); }
+
+TEST(EndpointLease, AListThatNothingConfirmedIsExpiredFromTheStart) {
+  EndpointLease lease(usual_terms());
+  EXPECT_EQ(lease.state(at(0)), LeaseState::kExpired);
+  lease.unreachable(at(1));
+  EXPECT_EQ(lease.state(at(1)), LeaseState::kExpired);
+}
+
+TEST(EndpointLease, EachWholeLineRenewsItAndItsStatesFollow) {
+  EndpointLease lease(usual_terms());
+  lease.confirmed(at(10));
+  EXPECT_EQ(lease.state(at(12)), LeaseState::kFresh);
+  lease.watch_lost();
+  EXPECT_EQ(lease.state(at(12)), LeaseState::kUnconfirmed);
+  EXPECT_EQ(lease.valid_until(), at(10) + kNotifiedWithin + kGrace - kSendDelay);
+  EXPECT_EQ(lease.state(lease.valid_until()), LeaseState::kExpired);
+  lease.confirmed(at(20));
+  EXPECT_EQ(lease.state(at(20)), LeaseState::kFresh);
+}
+
+TEST(EndpointLease, WhatHasBegunToComeCountsFromItsFirstByteUntilALineIsWhole) {
+  EndpointLease lease(usual_terms());
+  lease.confirmed(at(10));
+  lease.line_begun(at(11));
+  lease.line_begun(at(11.3));
+  EXPECT_EQ(lease.valid_until(), at(11) + kGrace - kSendDelay);
+  EXPECT_EQ(lease.pending_until(), lease.valid_until());
+  lease.watch_lost();  // the rest may never come: that frees nothing
+  EXPECT_EQ(lease.valid_until(), at(11) + kGrace - kSendDelay);
+  lease.confirmed(at(12));
+  EXPECT_EQ(lease.pending_until(), Instant::never());
+  EXPECT_EQ(lease.confirmed_at(), at(11));  // as it was written
+}
+
+TEST(EndpointLease, WhileDiscoveryRefusesConnectionsARunningLeaseGoesOnAndAnExpiredOneDoesNot) {
+  EndpointLease lease(usual_terms());
+  lease.confirmed(at(10));
+  lease.unreachable(at(14));
+  EXPECT_EQ(lease.valid_until(), at(14) + kNotifiedWithin + kGrace - kSendDelay);
+  EXPECT_FALSE(lease.vouches(at(12)));  // that is no confirmation
+  lease.unreachable(at(30));
+  EXPECT_EQ(lease.state(at(30)), LeaseState::kExpired);
+}
+
+// One endpoint whose process drains and is followed by another at the same address, and a watch that lags,
+// stalls in the middle of a line, ends or falls silent. All that is known to the model is written down first.
+struct Process {
+  Instant begins, drains, ends;  // accepts requests from the first until the second
+};
+struct Line {
+  Instant written, first_byte, whole;  // whole: never where it stalls
+};
+
+class History {
+ public:
+  explicit History(Pcg& chance) : chance_(chance) {
+    for (Instant t = at(0); t < at(kLength);) {
+      Process process{t, t + Span::s(1 + 12 * chance_.unit()), {}};
+      process.ends = process.drains + Span::s(1.5 + chance_.unit());
+      processes_.push_back(process);
+      t = process.ends + Span::s(1.2 + chance_.unit());
+    }
+    for (Instant t = at(0); t < at(kLength);) t = watch(t) + Span::s(5 * chance_.unit() * chance_.unit());
+  }
+  const std::vector<Line>& lines() const { return lines_; }
+  const Process* accepting(Instant t) const {
+    for (const Process& p : processes_) {
+      if (p.begins <= t && t < p.drains) return &p;
+    }
+    return nullptr;
+  }
+  // The first drain that the list as had by then does not tell of, and when that counts as notified.
+  std::optional<Instant> notified(Instant now) const {
+    Instant had = at(-1);  // the list as of then
+    for (const Line& line : lines_) {
+      if (line.whole <= now) had = line.written;
+    }
+    for (const Process& p : processes_) {
+      if (p.drains <= had) continue;
+      Instant notified = p.drains + kNotifiedWithin;
+      for (const Line& line : lines_) {
+        if (line.written >= p.drains) notified = std::min(notified, line.first_byte);
+      }
+      return notified;
+    }
+    return std::nullopt;
+  }
+  static constexpr double kLength = 60;
+
+ private:
+  // One watch: a line at each change and every 2 s, until it ends. Returns when.
+  Instant watch(Instant from) {
+    const Instant until = from + Span::s(10 * chance_.unit());
+    for (Instant t = from; t < until;) {
+      const bool stalls = chance_.unit() < 0.05;
+      const Instant first_byte = t + Span::ms(20 * chance_.unit());
+      lines_.push_back(
+          {t, first_byte, stalls ? Instant::never() : first_byte + Span::ms(300 * chance_.unit())});
+      if (stalls) return first_byte + Span::s(2.5);
+      Instant next = t + Span::s(2);
+      for (const Process& p : processes_) {
+        if (p.drains > t) next = std::min(next, p.drains);
+        if (p.begins > t) next = std::min(next, p.begins);
+      }
+      t = std::max(next, lines_.back().whole);
+    }
+    return std::max(until, lines_.back().whole);
+  }
+  Pcg& chance_;
+  std::vector<Process> processes_;
+  std::vector<Line> lines_;
+};
+
+// The lease as it stands at a time, from the lines up to then.
+EndpointLease lease_at(const History& history, Instant now) {
+  EndpointLease lease(usual_terms());
+  for (const Line& line : history.lines()) {
+    if (line.first_byte <= now) lease.line_begun(line.first_byte);
+    if (line.whole <= now) lease.confirmed(line.whole);
+  }
+  return lease;
+}
+
+TEST(EndpointLease, AgreesWithThePlainModelOnGeneratedHistories) {
+  constexpr int kHistories = 100000, kLooks = 4;
+  Pcg chance(34);
+  int allowed = 0, refused = 0, vouched = 0;
+  for (int i = 0; i < kHistories; ++i) {
+    const History history(chance);
+    for (int look = 0; look < kLooks; ++look) {
+      const Instant now = at(History::kLength * chance.unit());
+      const EndpointLease lease = lease_at(history, now);
+      Instant until = lease.valid_until();
+      // An answer to an earlier request, on a connection that was open before.
+      const Instant opened = now - Span::s(12 * chance.unit());
+      const Instant sent = opened + (now - opened) * chance.unit();
+      const Process* const process = history.accepting(opened);
+      const bool answered = process && sent < process->drains;
+      if (answered && lease.vouches(opened)) {
+        const Instant by_answer = std::min(lease.valid_after_answer(sent), lease.pending_until());
+        vouched += by_answer > std::max(until, now);
+        until = std::max(until, by_answer);
+      }
+      const auto notified = history.notified(now);
+      if (now < until) {
+        ++allowed;
+        if (notified) {
+          ASSERT_LE(now + kSendDelay - kLongestOnItsWay, *notified + kGrace) << "history " << i;
+        }
+      } else {
+        ++refused;
+      }
+    }
+  }
+  // All three have been met often.
+  EXPECT_GT(allowed, kHistories);
+  EXPECT_GT(refused, kHistories / 10);
+  EXPECT_GT(vouched, kHistories / 1000);
+}
+
+}  // namespace
+}  // namespace ashbeam::policy
