--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -52,8 +52,11 @@
 
 void Discovery::move_to(const std::string& address) {
   address_ = address;
-  drop("discovery moved");
-  if (following_) follow();
+  const bool watched = connection_ != nullptr;
+  drop("moved");
+  if (!following_) return;
+  if (watched) events_.list_lost("moved", true, false);
+  follow();
 }
 
 void Discovery::follow() {
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -358,8 +358,9 @@
 
 // The place is given back after the call at hand: the module may still name the hit in it.
 void Service::answer_finally(HitId id, unsigned status, std::string_view fields) {
-  detail_.line(LogTopic::kRequests, loop_.now(), "request %u answered %u without an endpoint's answer", id,
-               status);
+  detail_.line(LogTopic::kRequests, loop_.now(),
+               "request %u answered %u without an endpoint's answer, endpoint list %s", id, status,
+               policy::name_of(lease_.state(loop_.now())));
   if (Caller* const caller = take_caller(id)) caller->answer_plain(status, fields);
   loop_.later([this, id] { drop_if_over(id); });
 }
