--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -8,6 +8,30 @@
 
 namespace ashbeam {
 
+namespace {
+
+// Linux hands on errors of the connection that was to be taken, too: the next one may be taken all the same
+// (accept(2), "Error handling").
+bool of_one_connection(int error) {
+  switch (error) {
+    case EINTR:
+    case ECONNABORTED:
+    case ENETDOWN:
+    case EPROTO:
+    case ENOPROTOOPT:
+    case EHOSTDOWN:
+    case ENONET:
+    case EHOSTUNREACH:
+    case EOPNOTSUPP:
+    case ENETUNREACH:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
 Listener::Listener(Loop& loop, const std::string& address, int backlog, std::function<void(int)> came)
     : loop_(loop), came_(std::move(came)) {
   socket_.bind(Poco::Net::SocketAddress(address), true);
@@ -27,7 +51,7 @@
 bool Listener::accept_waiting() {
   while (!closed_ && watched_) {
     const int fd = ::accept4(socket_.impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0 && (errno == ECONNABORTED || errno == EINTR)) continue;
+    if (fd < 0 && of_one_connection(errno)) continue;
     if (fd < 0 && errno == EAGAIN) return true;
     came_(fd);
     if (fd < 0) return false;
