A watch that ends in order confirms nothing: it may have fallen silent before its end

Found when the change was read again: an end in order renewed the lease up to 2.5 s past the last line that came. Bound to the last whole line now; an outage's lease runs up to 2 s shorter.

--- a/src/policy/endpoint_lease.hpp
+++ b/src/policy/endpoint_lease.hpp
@@ -32,7 +32,7 @@
  public:
   explicit EndpointLease(const EndpointLeaseTerms& terms) : terms_(terms) {}
 
-  // A whole line came on a watch, or the watch ended in order: the list stands as discovery has it now.
+  // A whole line came on a watch: the list stands as discovery has it now.
   void confirmed(Instant now);
   // The bytes of a line, or of the answer to a call, have begun to come: what they say counts as notified.
   void line_begun(Instant now);
--- a/src/routing/discovery.cpp
+++ b/src/routing/discovery.cpp
@@ -123,8 +123,6 @@
 }
 
 void Discovery::ended() {
-  const bool in_order = stands_ && !begun() && !connection_->broken();
-  if (in_order) events_.list_confirmed();
   const Failure failure = connection_->failure();
   fail(failure == Failure::kLocal ? "not possible for this machine" : "ended", failure == Failure::kRefused);
 }
--- a/src/routing/discovery.hpp
+++ b/src/routing/discovery.hpp
@@ -20,7 +20,8 @@
    public:
     virtual ~Events() = default;
     virtual void listed(bool whole, const Json& entries) = 0;
-    // A whole line has come, or the watch ended in order: the list stands as discovery has it now.
+    // A whole line has come: the list stands as discovery has it now. An end in order says nothing: the watch
+    // may have fallen silent before it.
     virtual void list_confirmed() = 0;
     // The first bytes of an answer or of a line have come, and not all of it.
     virtual void list_begun() = 0;
--- a/tests/stale_endpoints_test.cpp
+++ b/tests/stale_endpoints_test.cpp
@@ -83,5 +83,22 @@
   EXPECT_FALSE(sent_within(300));
 }
 
+// The watch may have fallen silent before its end: the lease counts from its last line.
+TEST_F(StaleEndpointsTest, AWatchThatEndsInOrderConfirmsNothing) {
+  begin(all_hosts());
+  Stream watch = standing_watch();
+  ASSERT_TRUE(sent_within(1000));
+  usleep(900000);
+  watch.shut();
+  EXPECT_TRUE(discovery_.asked(1000));
+  stopping_ = true;
+  thread_.join();
+  const std::string lost = "endpoint list: unconfirmed, ended, last confirmed ";
+  const auto note =
+      std::find_if(notes_.begin(), notes_.end(), [&](const std::string& n) { return n.starts_with(lost); });
+  ASSERT_NE(note, notes_.end());
+  EXPECT_GE(std::stoi(note->substr(lost.size())), 900);
+}
+
 }  // namespace
 }  // namespace ashbeam
