--- a/review/cases/late_copy.cpp
+++ b/review/cases/late_copy.cpp
@@ -6,12 +6,13 @@
 
 namespace {
 
-constexpr double kOneWay = 0.0003;  // of the network, within the site's 0.097 to 0.34 ms in a zone
+constexpr double kOneWay = 0.001;  // of the network, within the site's 0.7 to 1.3 ms between its two data centres
 constexpr double kCopyLate = 0.005, kCopyLateRange = 0.005;  // a second copy comes 5 to 10 ms after its answer
 constexpr unsigned kAnswersForACopy = 20;                    // one answer in 20 has a second copy
-constexpr double kFirstCopies = 6, kSecondCopies = 72, kCopiesLast = 3, kRunSeconds = 80;
+constexpr double kFirstCopies = 8, kSecondCopies = 74, kCopiesLast = 3, kRunSeconds = 82;
 constexpr int kHosts = 8;
-constexpr int kClients = 50;
+constexpr int kRouters = 2;
+constexpr int kClients = 56 * kRouters;  // about 700 requests a second at each router
 
 // Carries bytes from one socket to the other, each `kOneWay` late.
 void carry(int from, int to) {
@@ -37,7 +38,7 @@
   std::vector<std::unique_ptr<Host>> hosts;
   std::vector<std::unique_ptr<Server>> links;
   for (int i = 0; i < kHosts; ++i) {
-    hosts.push_back(std::make_unique<Host>("s-" + std::to_string(i), "milano-est", 0.054, 0.093));
+    hosts.push_back(std::make_unique<Host>("s-" + std::to_string(i), "milano-ovest", 0.054, 0.093));
     Host& host = *hosts.back();
     const int port = host.port();
     host.on_request = [i](const Host&, const Message& request) {
@@ -69,14 +70,24 @@
   }
   Discovery discovery(list, "discovery");
   Platform platform(kReleasedState);
-  Router router({discovery.address(), platform.address(), milano_settings()});
-  if (!router.wait_until_ready(30)) cannot_run("the router is not ready");
-  record.line("the router is ready");
+  RouterOptions options{discovery.address(), platform.address(), milano_settings()};
+  std::vector<std::unique_ptr<Router>> routers;
+  for (int i = 0; i < kRouters; ++i) {
+    options.name = "n" + std::to_string(i);
+    options.settings = milano_settings();
+    options.settings.replace(options.settings.find("\"myNumber\":0"), 12, "\"myNumber\":" + std::to_string(i));
+    options.settings.replace(options.settings.find("\"replicasOfMe\":2"), 16, "\"replicasOfMe\":" + std::to_string(kRouters));
+    routers.push_back(std::make_unique<Router>(options));
+  }
+  for (const auto& router : routers) {
+    if (!router->wait_until_ready(30)) cannot_run("a router is not ready");
+  }
+  record.line("the routers are ready");
   std::vector<std::thread> clients;
   for (int i = 0; i < kClients; ++i) {
-    clients.emplace_back([&router, i] {
-      Client client(router.port());
-      for (int n = i; !stopping; ++n) {
+    clients.emplace_back([port = routers[static_cast<std::size_t>(i % kRouters)]->port(), i] {
+      Client client(port);
+      for (int n = i / kRouters; !stopping; ++n) {
         Request request;
         request.id = new_id();
         request.account = "mercato-nord";
@@ -117,5 +128,8 @@
   std::snprintf(summary, sizeof summary,
                 "%d answers, %d not 200, %d second copies sent, %d withheld, %d clients got the answer to another request",
                 answers.load(), failed.load(), copies.load(), withheld.load(), foreign.load());
-  finish(router, foreign > 0, summary);
+  for (const auto& router : routers) {
+    if (!router->is_running() && foreign == 0) cannot_run("a router ended by itself");
+  }
+  finish(*routers[0], foreign > 0, summary);
 }
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -20,5 +20,7 @@
 wait "$pid"
 code=$?
 pid=
-{ echo; echo "The router's log:"; cat "$CASE_TMP/router.log"; } >> "$here/record.txt" 2>/dev/null
+for log in "$CASE_TMP"/*.log; do
+  [ -f "$log" ] && { echo; echo "The log of router $(basename "$log" .log):"; cat "$log"; } >> "$here/record.txt"
+done
 case $code in 0|1) exit $code ;; *) exit 2 ;; esac
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -289,10 +289,11 @@
 
 struct Entry {
   std::string uid, address, zone, state = "up";
+  int release = 41;
   std::string json() const {
     return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + address + "\",\"az\":\"" + zone +
            "\",\"model\":\"large\",\"pod_group\":1,\"state\":\"" + state +
-           "\",\"capacity_hint\":1.0,\"boot_ms\":0,\"release\":41}";
+           "\",\"capacity_hint\":1.0,\"boot_ms\":0,\"release\":" + std::to_string(release) + "}";
   }
 };
 
@@ -442,13 +443,14 @@
 class Host {
  public:
   Host(std::string uid, std::string zone, double work_from, double work_to)
-      : entry_{std::move(uid), "", std::move(zone)}, work_from_(work_from), work_to_(work_to),
+      : entry_{std::move(uid), "", std::move(zone), "up", 41}, work_from_(work_from), work_to_(work_to),
         server_([this](int fd) { serve(fd); }) {
     entry_.address = server_.address();
   }
   const Entry& entry() const { return entry_; }
   int port() const { return server_.port(); }
   void set_address(const std::string& address) { entry_.address = address; }
+  void set_release(int release) { entry_.release = release; }
   Entry listed_as(const std::string& state) const {
     Entry entry = entry_;
     entry.state = state;
@@ -458,6 +460,7 @@
   // Called with each request when its last byte has come, and after each answer; both may be empty.
   std::function<void(const Host&, const Message&)> on_request;
   std::function<void(int fd, const std::string& answer)> after_answer;
+  bool answers_with_build = false;  // the body of an answer is the host's build instead of the request's id
 
  private:
   void serve(int fd) {
@@ -473,7 +476,7 @@
       }
       state = state * 1664525U + 1013904223U;
       sleep_for(work_from_ + (work_to_ - work_from_) * (state >> 8) / 16777216.0);
-      const std::string answer = ok_answer(request.field("X-Correlation-Id"));
+      const std::string answer = ok_answer(answers_with_build ? std::to_string(entry_.release) : request.field("X-Correlation-Id"));
       if (!send_all(fd, answer)) return;
       if (after_answer) after_answer(fd, answer);
     }
@@ -489,6 +492,7 @@
 struct RouterOptions {
   std::string discovery, platform, settings, known = "{\"rev\":1,\"all\":true,\"targets\":[]}";
   int sockets = 1024;
+  std::string name = "n0";
 };
 
 // Starts the router as the deploy file says: its line `run`, by /bin/sh -c, from the root of the repository.
@@ -504,14 +508,14 @@
   int port() const { return port_; }
   pid_t pid() const { return pid_; }
   void write_configuration() const {
-    std::ofstream file(folder_ + "/config.json.new");
-    file << "{\"name\":\"n0\",\"listen\":\"" << address_of(port_) << "\",\"discovery\":\"" << options_.discovery
+    std::ofstream file(folder_ + "/" + options_.name + ".json.new");
+    file << "{\"name\":\"" << options_.name << "\",\"listen\":\"" << address_of(port_) << "\",\"discovery\":\"" << options_.discovery
          << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
          << options_.sockets << "},\"release_api\":{\"address\":\"" << options_.platform
          << "\",\"news\":" << kReleasedState << "},\"known\":" << options_.known
          << ",\"settings\":" << options_.settings << "}\n";
     file.close();
-    std::rename((folder_ + "/config.json.new").c_str(), (folder_ + "/config.json").c_str());
+    std::rename((folder_ + "/" + options_.name + ".json.new").c_str(), (folder_ + "/" + options_.name + ".json").c_str());
   }
   // Replaces the configuration and sends SIGHUP.
   void move_discovery(const std::string& discovery) {
@@ -561,13 +565,13 @@
     if (pid_ < 0) cannot_run("fork failed");
     if (pid_ > 0) return;
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // the router does not outlive the case
-    const int log = ::open((folder_ + "/router.log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int log = ::open((folder_ + "/" + options_.name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(log, 1);
     ::dup2(log, 2);
-    ::setenv("PROXY_NAME", "n0", 1);
+    ::setenv("PROXY_NAME", options_.name.c_str(), 1);
     ::setenv("PROXY_LISTEN", address_of(port_).c_str(), 1);
     ::setenv("PROXY_DISCOVERY", options_.discovery.c_str(), 1);
-    ::setenv("PROXY_CONFIG", (folder_ + "/config.json").c_str(), 1);
+    ::setenv("PROXY_CONFIG", (folder_ + "/" + options_.name + ".json").c_str(), 1);
     ::execl("/bin/sh", "sh", "-c", line.c_str(), nullptr);
     ::_exit(127);
   }
@@ -582,10 +586,12 @@
 struct Request {
   std::string method = "GET", path, id, account, key, body;
   int time_left_ms = 2500;
+  std::string facts;  // the value of X-Facts
   std::string text() const {
     std::string text = method + " " + path + " HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: " + id +
                        "\r\nX-Account: " + account + "\r\nX-Time-Left-Ms: " + std::to_string(time_left_ms) + "\r\n";
     if (!key.empty()) text += "Idempotency-Key: " + key + "\r\n";
+    if (!facts.empty()) text += "X-Facts: " + facts + "\r\n";
     if (method == "POST") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     return text + "\r\n" + body;
   }
--- /dev/null
+++ b/review/tried/gone_client.cpp
@@ -0,0 +1,86 @@
+// Bad clients open hundreds of connections and say nothing. Meanwhile a client gives up early: it closes its
+// connection. No attempt for its request may begin more than 0.1 s after that.
+#include "../standins/standins.hpp"
+
+using namespace standins;
+
+namespace {
+constexpr int kHosts = 4;
+const int kSilent = std::getenv("SILENT") ? std::atoi(std::getenv("SILENT")) : 900;
+const double kPatience = std::getenv("PATIENCE") ? std::atof(std::getenv("PATIENCE")) : 0.2;
+}  // namespace
+
+int main(int, char** argv) {
+  record.open(argv[1]);
+  HostList list;
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::mutex mutex;
+  std::map<std::string, double> closed;
+  std::atomic<int> late = 0;
+  std::atomic<double> latest = 0;
+  for (int i = 0; i < kHosts; ++i) {
+    hosts.push_back(std::make_unique<Host>("s-" + std::to_string(i), "milano-est", 0.054, 0.093));
+    hosts.back()->on_request = [&, i](const Host&, const Message& request) {
+      const std::lock_guard lock(mutex);
+      const std::string id = request.field("X-Correlation-Id");
+      const auto found = closed.find(id);
+      record.line("host %d: %s %s", i, request.start_line.c_str(), id.c_str());
+      if (found == closed.end()) return;
+      const double after = now() - found->second;
+      record.line("host %d: attempt for %s came %.3f s after its client had closed", i, id.c_str(), after);
+      if (after <= 0.1) return;
+      ++late;
+      latest = std::max(latest.load(), after);
+    };
+    list.put(hosts.back()->entry());
+  }
+  Discovery discovery(list, "discovery");
+  Platform platform(kReleasedState);
+  RouterOptions options{discovery.address(), platform.address(), milano_settings()};
+  options.sockets = 256;
+  Router router(options);
+  if (!router.wait_until_ready(30)) cannot_run("the router is not ready");
+  sleep_for(6);
+  int left = 0;
+  for (int round = 0; round < 10; ++round) {
+    std::vector<int> silent;
+    if (trouble()) {
+      for (int i = 0; i < kSilent; ++i) {
+        const int fd = connect_to(router.port());
+        if (fd >= 0) silent.push_back(fd);
+      }
+    }
+    record.line("%zu silent connections open", silent.size());
+    for (int i = 0; i < 3; ++i) {
+      Request request;
+      request.method = "POST";
+      request.path = "/notify";
+      request.id = new_id();
+      request.account = "mercato-nord";
+      request.body = "parcel=1";
+      request.time_left_ms = 2000;
+      const int fd = connect_to(router.port());
+      Reader reader(fd);
+      send_all(fd, request.text());
+      record.line("sent %s", request.id.c_str());
+      const Message answer = reader.read(now() + kPatience);
+      if (!answer.complete) {
+        const std::lock_guard lock(mutex);
+        ::close(fd);
+        closed[request.id] = now();
+        ++left;
+        record.line("closed %s, no answer", request.id.c_str());
+      } else {
+        record.line("%s answered with %d", request.id.c_str(), answer.status());
+        ::close(fd);
+      }
+    }
+    sleep_for(3);
+    for (const int fd : silent) ::close(fd);
+    sleep_for(1);
+  }
+  char summary[200];
+  std::snprintf(summary, sizeof summary, "%d clients left early, %d attempts began more than 0.1 s later, at most %.2f s", left,
+                late.load(), latest.load());
+  finish(router, late > 0, summary);
+}
