Review case 3: a draining host gets new work while discovery is silent

Cause: each answer of a host extends its validity by 6.55 s, although what a silent watch misses counts as told 6 s after it fell silent.

--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -128,6 +128,16 @@
   if (accepted >= 0) ::setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   return accepted;
 }
+// Starts to connect and does not wait.
+inline int start_connecting(int port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_port = htons(static_cast<std::uint16_t>(port));
+  (void)!::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
+  return fd;
+}
 inline bool send_all(int fd, const std::string& bytes) {
   std::size_t sent = 0;
   while (sent < bytes.size()) {
@@ -350,13 +360,13 @@
     crowded_ = crowded;
   }
   void come_up() {
-    const int epoch = ++epoch_;
+    const int epoch = ++epoch_, accept_epoch = ++accept_epoch_;
     listening_ = listen_at(port_);
     const int fd = listening_.fd;
-    std::thread([this, fd, epoch] {
-      while (epoch_ == epoch) {
+    std::thread([this, fd, epoch, accept_epoch] {
+      while (accept_epoch_ == accept_epoch) {
         if (!readable(fd, 0.05)) continue;
-        if (epoch_ != epoch) return;
+        if (accept_epoch_ != accept_epoch) return;
         const int accepted = accept_from(fd);
         if (accepted < 0) return;
         std::thread([this, accepted, epoch] { serve(accepted, epoch); }).detach();
@@ -370,7 +380,25 @@
   }
   void go_down() {
     ++epoch_;
+    ++accept_epoch_;
+    stop_listening();
+  }
+  // Says nothing from now on, as a machine that is cut off: open watches stay open and silent, new connections
+  // never come up. be_reachable() ends this: the open watches are reset, new connections come up.
+  void be_cut_off() {
+    silent_ = true;
     stop_listening();
+    ++accept_epoch_;
+    listening_ = listen_at(port_, 0);
+    for (int i = 0; i < 4; ++i) fillers_.push_back(start_connecting(port_));  // fill the backlog
+  }
+  void be_reachable() {
+    for (const int fd : fillers_) ::close(fd);
+    fillers_.clear();
+    ::close(listening_.fd);
+    ++epoch_;
+    silent_ = false;
+    come_up();
   }
   double last_line_at() const { return last_line_at_; }
   double last_list_at() const { return last_list_at_; }
@@ -405,6 +433,11 @@
     if (!write(fd, number, first)) return (void)::close(fd);
     double next_empty = now() + 2;
     while (epoch_ == epoch) {
+      if (silent_) {
+        // The router's close is not seen either.
+        sleep_for(0.01);
+        continue;
+      }
       const auto [reached, line] = list_.since(revision);
       revision = reached;
       const bool due = now() >= next_empty;
@@ -431,8 +464,9 @@
   std::string name_;
   int port_ = 0;
   Listening listening_;
-  std::atomic<int> epoch_ = 0, calls_ = 0;
-  std::atomic<bool> crowded_ = false;
+  std::vector<int> fillers_;
+  std::atomic<int> epoch_ = 0, accept_epoch_ = 0, calls_ = 0;
+  std::atomic<bool> crowded_ = false, silent_ = false;
   std::atomic<double> call_wait_ = 0, last_line_at_ = 0, last_list_at_ = 0;
 };
 
