--- a/review/cases/gone_client.cpp
+++ b/review/cases/gone_client.cpp
@@ -52,8 +52,8 @@
   if (!router.wait_until_ready(30)) cannot_run("the router is not ready");
   sleep_for(6);
   std::atomic<int> left = 0;
-  // Sends a `notify` on a new connection and closes it after the answer, or without one after `patience`. Returns
-  // whether it was answered.
+  // Sends a `notify` on a new connection and closes it after the answer, or without one after `patience`.
+  // Returns whether it was answered.
   const auto send_and_leave = [&](int port, int parcel, double patience = kPatience) {
     Request request;
     request.method = "POST";
@@ -101,7 +101,9 @@
     sleep_for(1);
   }
   char summary[200];
-  std::snprintf(summary, sizeof summary, "%d clients left early, %d attempts began more than 0.1 s after that, the latest %.2f s; %d notices ran twice",
+  std::snprintf(summary, sizeof summary,
+                "%d clients left early, %d attempts began more than 0.1 s after that, the latest %.2f s; %d "
+                "notices ran twice",
                 left.load(), late.load(), latest.load(), twice);
   finish(router, late > 0, summary);
 }
--- a/review/cases/late_copy.cpp
+++ b/review/cases/late_copy.cpp
@@ -6,9 +6,11 @@
 
 namespace {
 
-constexpr double kOneWay = 0.001;  // of the network, within the site's 0.7 to 1.3 ms between its two data centres
-constexpr double kCopyLate = 0.005, kCopyLateRange = 0.005;  // a second copy comes 5 to 10 ms after its answer
-constexpr unsigned kAnswersForACopy = 20;                    // one answer in 20 has a second copy
+constexpr double kOneWay =
+    0.001;  // of the network, within the site's 0.7 to 1.3 ms between its two data centres
+constexpr double kCopyLate = 0.005,
+                 kCopyLateRange = 0.005;   // a second copy comes 5 to 10 ms after its answer
+constexpr unsigned kAnswersForACopy = 20;  // one answer in 20 has a second copy
 constexpr double kFirstCopies = 8, kSecondCopies = 74, kCopiesLast = 3, kRunSeconds = 82;
 constexpr int kHosts = 8;
 constexpr int kRouters = 2;
@@ -54,7 +56,8 @@
         return;
       }
       ++copies;
-      record.line("host %d: second copy of the answer to %s", i, answer.substr(answer.find("\r\n\r\n") + 4).c_str());
+      record.line("host %d: second copy of the answer to %s", i,
+                  answer.substr(answer.find("\r\n\r\n") + 4).c_str());
       send_all(fd, answer);
     };
     links.push_back(std::make_unique<Server>([port](int fd) {
@@ -75,8 +78,10 @@
   for (int i = 0; i < kRouters; ++i) {
     options.name = "n" + std::to_string(i);
     options.settings = milano_settings();
-    options.settings.replace(options.settings.find("\"myNumber\":0"), 12, "\"myNumber\":" + std::to_string(i));
-    options.settings.replace(options.settings.find("\"replicasOfMe\":2"), 16, "\"replicasOfMe\":" + std::to_string(kRouters));
+    options.settings.replace(options.settings.find("\"myNumber\":0"), 12,
+                             "\"myNumber\":" + std::to_string(i));
+    options.settings.replace(options.settings.find("\"replicasOfMe\":2"), 16,
+                             "\"replicasOfMe\":" + std::to_string(kRouters));
     routers.push_back(std::make_unique<Router>(options));
   }
   for (const auto& router : routers) {
@@ -102,8 +107,8 @@
                     answer.status == 200 ? answer.body.c_str() : "");
         if (answer.status == 200 && answer.body != request.id) {
           ++foreign;
-          record.line("FOREIGN: client %d: %s (%s) was served with the answer made for %s", i, request.id.c_str(),
-                      request.path.c_str(), answer.body.c_str());
+          record.line("FOREIGN: client %d: %s (%s) was served with the answer made for %s", i,
+                      request.id.c_str(), request.path.c_str(), answer.body.c_str());
         }
         if (answer.status != 200) {
           ++failed;
@@ -126,7 +131,8 @@
   for (std::thread& client : clients) client.join();
   char summary[200];
   std::snprintf(summary, sizeof summary,
-                "%d answers, %d not 200, %d second copies sent, %d withheld, %d clients got the answer to another request",
+                "%d answers, %d not 200, %d second copies sent, %d withheld, %d clients got the answer to "
+                "another request",
                 answers.load(), failed.load(), copies.load(), withheld.load(), foreign.load());
   for (const auto& router : routers) {
     if (!router->is_running() && foreign == 0) cannot_run("a router ended by itself");
--- a/review/cases/silent_discovery.cpp
+++ b/review/cases/silent_discovery.cpp
@@ -1,5 +1,5 @@
-// Discovery is cut off for some seconds: its watch stays open and silent. A host begins to drain while the watch is
-// silent. What a silent watch misses counts as told at the latest 6 s after it fell silent.
+// Discovery is cut off for some seconds: its watch stays open and silent. A host begins to drain while the
+// watch is silent. What a silent watch misses counts as told at the latest 6 s after it fell silent.
 #include "../standins/standins.hpp"
 
 using namespace standins;
@@ -23,14 +23,16 @@
   std::vector<Drain> drains(kHosts);
   for (int i = 0; i < kHosts; ++i) {
     hosts.push_back(std::make_unique<Host>("s-" + std::to_string(i), "milano-est", 0.054, 0.093));
-    hosts.back()->on_request = [&drain = drains[static_cast<std::size_t>(i)], i](const Host&, const Message& request) {
+    hosts.back()->on_request = [&drain = drains[static_cast<std::size_t>(i)], i](const Host&,
+                                                                                 const Message& request) {
       const double after = now() - drain.told;
       const std::string id = request.field("X-Correlation-Id");
       record.line("host %d: %s %s", i, request.start_line.c_str(), id.c_str());
       if (after <= kGrace + kSlack) return;
       ++drain.late;
       drain.last = after;
-      record.line("BROKEN: the attempt for %s came to host %d %.3f s after its drain counted as told", id.c_str(), i, after);
+      record.line("BROKEN: the attempt for %s came to host %d %.3f s after its drain counted as told",
+                  id.c_str(), i, after);
     };
     list.put(hosts.back()->entry());
   }
@@ -97,7 +99,8 @@
   }
   char summary[240];
   std::snprintf(summary, sizeof summary,
-                "%d of %d requests served; %d attempts at a draining host after the grace, in %d of %d rounds, up to %.2f s "
+                "%d of %d requests served; %d attempts at a draining host after the grace, in %d of %d "
+                "rounds, up to %.2f s "
                 "after its drain counted as told",
                 served.load(), answers.load(), late, rounds, kRounds, last);
   finish(router, late > 0, summary);
--- a/review/tried/large_key.cpp
+++ b/review/further/large_key.cpp
@@ -1,5 +1,5 @@
-// A build is on trial and the settings keep a key at the newest build that has answered it. The test sends keys
-// over the whole range of 64 bits.
+// A build is on trial and the settings keep a key at the newest build that has answered it. The test sends
+// keys over the whole range of 64 bits.
 #include "../standins/standins.hpp"
 
 using namespace standins;
@@ -24,17 +24,21 @@
       const std::string key = request.field("X-Facts");
       const std::lock_guard lock(mutex);
       const int newest = answered[key];
-      record.line("host %d (build %d): %s %s", i, release, request.field("X-Correlation-Id").c_str(), key.c_str());
+      record.line("host %d (build %d): %s %s", i, release, request.field("X-Correlation-Id").c_str(),
+                  key.c_str());
       if (release < newest) {
         ++broken[key];
-        record.line("BROKEN: %s has been answered by build %d and goes to build %d", key.c_str(), newest, release);
+        record.line("BROKEN: %s has been answered by build %d and goes to build %d", key.c_str(), newest,
+                    release);
       }
     };
     hosts.back()->answers_with_build = true;
     list.put(hosts.back()->entry());
   }
   Discovery discovery(list, "discovery");
-  Platform platform(trouble() ? "{\"image\":42,\"ring\":3,\"progress\":\"trial\",\"ceiling\":0.77,\"lag_ms\":300}" : kReleasedState);
+  Platform platform(trouble()
+                        ? "{\"image\":42,\"ring\":3,\"progress\":\"trial\",\"ceiling\":0.77,\"lag_ms\":300}"
+                        : kReleasedState);
   Router router({discovery.address(), platform.address(), torino_settings()});
   if (!router.wait_until_ready(30)) cannot_run("the router is not ready");
   sleep_for(2);
@@ -43,8 +47,9 @@
   for (int i = 0; i < kClients; ++i) {
     clients.emplace_back([&, i] {
       Client client(router.port());
-      // Keys spread evenly over 1 to 2^64 - 1; the last is in the topmost of 40 parts.
-      const std::uint64_t key = (UINT64_MAX / 40) * static_cast<std::uint64_t>(i + 1 == kClients ? 39 : i * 4 + 1) + 12345 + (i + 1 == kClients ? UINT64_MAX / 60 : 0);
+      // Ten keys over the whole range; the last lies above 1.8e19.
+      const std::uint64_t key =
+          i + 1 == kClients ? 18293021206428651015U : UINT64_MAX / 40 * (4U * static_cast<unsigned>(i) + 1);
       while (!stopping) {
         Request request;
         request.id = new_id();
@@ -68,9 +73,11 @@
   stopping = true;
   for (std::thread& client : clients) client.join();
   int late = 0;
-  for (const auto& [key, count] : broken) record.line("%s: %d attempts at an earlier build", key.c_str(), count), late += count;
+  for (const auto& [key, count] : broken)
+    record.line("%s: %d attempts at an earlier build", key.c_str(), count), late += count;
   char summary[200];
-  std::snprintf(summary, sizeof summary, "%d of %d served; %d attempts of %zu keys at an earlier build than one that had answered",
+  std::snprintf(summary, sizeof summary,
+                "%d of %d served; %d attempts of %zu keys at an earlier build than one that had answered",
                 served.load(), answers.load(), late, broken.size());
   finish(router, late > 0, summary);
 }
--- a/review/tried/moved_discovery.cpp
+++ b/review/further/moved_discovery.cpp
@@ -1,5 +1,5 @@
-// A new configuration with SIGHUP moves discovery, which is crowded. What discovery has to tell counts as told 4 s
-// after SIGHUP.
+// A new configuration with SIGHUP moves discovery, which is crowded. What discovery has to tell counts as
+// told 4 s after SIGHUP.
 #include "../standins/standins.hpp"
 
 using namespace standins;
@@ -74,7 +74,8 @@
   for (std::thread& client : clients) client.join();
   char summary[240];
   std::snprintf(summary, sizeof summary,
-                "%d of %d requests served; %d attempts at the draining host later than %.2f s after SIGHUP, the last %.2f s "
+                "%d of %d requests served; %d attempts at the draining host later than %.2f s after SIGHUP, "
+                "the last %.2f s "
                 "after it",
                 served.load(), answers.load(), late.load(), kToldAfter + kGrace + kSlack, last.load());
   finish(router, late > 0, summary);
--- a/review/tried/other_account.cpp
+++ b/review/further/other_account.cpp
@@ -15,8 +15,8 @@
       const std::lock_guard lock(mutex);
       const std::string id = request.field("X-Correlation-Id");
       ++runs[id];
-      record.line("host %d: %s id %s account %s: run %d of this id", i, request.start_line.c_str(), id.c_str(),
-                  request.field("X-Account").c_str(), runs[id]);
+      record.line("host %d: %s id %s account %s: run %d of this id", i, request.start_line.c_str(),
+                  id.c_str(), request.field("X-Account").c_str(), runs[id]);
     };
     list.put(hosts.back()->entry());
   }
@@ -48,8 +48,9 @@
     const double begin = now();
     const Answered bad_answer = client.send(bad);
     usual_client.join();
-    record.line("round %d: id %s: the usual client got %d, the client of libreria-po with id %s got %d after %.2f s", i,
-                usual.id.c_str(), answer.status, bad.id.c_str(), bad_answer.status, now() - begin);
+    record.line(
+        "round %d: id %s: the usual client got %d, the client of libreria-po with id %s got %d after %.2f s",
+        i, usual.id.c_str(), answer.status, bad.id.c_str(), bad_answer.status, now() - begin);
     usual_served += answer.status == 200;
     served += trouble() && bad_answer.status == 200;
     const std::lock_guard lock(mutex);
@@ -57,7 +58,8 @@
     sleep_for(0.2);
   }
   char summary[200];
-  std::snprintf(summary, sizeof summary, "%d usual requests served, %d bad ones served, %d ids of notify ran twice",
-                usual_served, served, twice);
+  std::snprintf(summary, sizeof summary,
+                "%d usual requests served, %d bad ones served, %d ids of notify ran twice", usual_served,
+                served, twice);
   finish(router, served > 0 || twice > 0, summary);
 }
--- a/review/tried/return_of_discovery.cpp
+++ b/review/further/return_of_discovery.cpp
@@ -1,5 +1,5 @@
-// Discovery is down for 9 s; during that time a host starts to drain. Where lists are pushed, what the agent gets
-// at the return counts as told at once.
+// Discovery is down for 9 s; during that time a host starts to drain. Where lists are pushed, what the agent
+// gets at the return counts as told at once.
 #include "../standins/standins.hpp"
 
 using namespace standins;
@@ -86,7 +86,8 @@
   }
   char summary[240];
   std::snprintf(summary, sizeof summary,
-                "%d of %d requests served; %d attempts at a draining host after the grace, in %d of %d outages, up to %.2f s "
+                "%d of %d requests served; %d attempts at a draining host after the grace, in %d of %d "
+                "outages, up to %.2f s "
                 "after it counted as told",
                 served.load(), answers.load(), late, broken_rounds, kRounds, last);
   finish(router, late > 0, summary);
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -16,8 +16,8 @@
 #include <chrono>
 #include <csignal>
 #include <cstdarg>
-#include <cstdio>
 #include <cstdint>
+#include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
@@ -222,7 +222,8 @@
 };
 
 inline std::string ok_answer(const std::string& body, const std::string& fields = "") {
-  return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 inline std::string turned_away_answer() {
   return "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -257,8 +258,7 @@
 // Answers calls one by one, tells the state of the released build at once and a ping every second.
 class Platform {
  public:
-  explicit Platform(std::string state)
-      : state_(std::move(state)), server_([this](int fd) { serve(fd); }) {}
+  explicit Platform(std::string state) : state_(std::move(state)), server_([this](int fd) { serve(fd); }) {}
   std::string address() const { return server_.address(); }
 
  private:
@@ -279,9 +279,11 @@
       for (std::size_t end; (end = buffer.find('\n')) != std::string::npos; buffer.erase(0, end + 1)) {
         const std::string line = buffer.substr(0, end);
         const std::size_t id_at = line.find("\"id\":");
-        const std::string id = id_at == std::string::npos ? "0" : std::to_string(std::atoi(line.c_str() + id_at + 5));
+        const std::string id =
+            id_at == std::string::npos ? "0" : std::to_string(std::atoi(line.c_str() + id_at + 5));
         const bool subscribe = line.find("subscribe") != std::string::npos;
-        std::string answer = "{\"jsonrpc\":\"2.0\",\"id\":" + id + ",\"result\":" + (subscribe ? "true" : state_) + "}\n";
+        std::string answer =
+            "{\"jsonrpc\":\"2.0\",\"id\":" + id + ",\"result\":" + (subscribe ? "true" : state_) + "}\n";
         if (subscribe) answer += "{\"jsonrpc\":\"2.0\",\"method\":\"ROLLOUT\",\"params\":" + state_ + "}\n";
         subscribed = subscribed || subscribe;
         if (!send_all(fd, answer)) return;
@@ -335,8 +337,8 @@
 
  private:
   static std::string line(unsigned revision, bool all, const std::string& targets) {
-    return "{\"rev\":" + std::to_string(revision) + ",\"all\":" + (all ? "true" : "false") + ",\"targets\":[" +
-           targets + "]}";
+    return "{\"rev\":" + std::to_string(revision) + ",\"all\":" + (all ? "true" : "false") +
+           ",\"targets\":[" + targets + "]}";
   }
   mutable std::mutex mutex_;
   unsigned revision_ = 40;
@@ -345,8 +347,8 @@
 };
 
 // One address of discovery. It serves watches: the first line at once, a line for each change, and an empty
-// line every 2 s. go_down() resets its connections and refuses new ones, as a process that dies does; come_up()
-// listens at the same address again.
+// line every 2 s. go_down() resets its connections and refuses new ones, as a process that dies does;
+// come_up() listens at the same address again.
 class Discovery {
  public:
   Discovery(const HostList& list, std::string name) : list_(list), name_(std::move(name)) {
@@ -383,8 +385,8 @@
     ++accept_epoch_;
     stop_listening();
   }
-  // Says nothing from now on, as a machine that is cut off: open watches stay open and silent, new connections
-  // never come up. be_reachable() ends this: the open watches are reset, new connections come up.
+  // Says nothing from now on, as a machine that is cut off: open watches stay open and silent, new
+  // connections never come up. be_reachable() ends this: the open watches are reset, new connections come up.
   void be_cut_off() {
     silent_ = true;
     stop_listening();
@@ -427,7 +429,8 @@
       record.line("%s: call %d failed with 503 after %.1f s", name_.c_str(), number, call_wait_.load());
       return (void)::close(fd);
     }
-    if (!send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"))
+    if (!send_all(fd,
+                  "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"))
       return (void)::close(fd);
     auto [revision, first] = list_.whole();
     if (!write(fd, number, first)) return (void)::close(fd);
@@ -510,7 +513,8 @@
       }
       state = state * 1664525U + 1013904223U;
       sleep_for(work_from_ + (work_to_ - work_from_) * (state >> 8) / 16777216.0);
-      const std::string answer = ok_answer(answers_with_build ? std::to_string(entry_.release) : request.field("X-Correlation-Id"));
+      const std::string answer =
+          ok_answer(answers_with_build ? std::to_string(entry_.release) : request.field("X-Correlation-Id"));
       if (!send_all(fd, answer)) return;
       if (after_answer) after_answer(fd, answer);
     }
@@ -543,13 +547,15 @@
   pid_t pid() const { return pid_; }
   void write_configuration() const {
     std::ofstream file(folder_ + "/" + options_.name + ".json.new");
-    file << "{\"name\":\"" << options_.name << "\",\"listen\":\"" << address_of(port_) << "\",\"discovery\":\"" << options_.discovery
+    file << "{\"name\":\"" << options_.name << "\",\"listen\":\"" << address_of(port_)
+         << "\",\"discovery\":\"" << options_.discovery
          << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
          << options_.sockets << "},\"release_api\":{\"address\":\"" << options_.platform
          << "\",\"news\":" << kReleasedState << "},\"known\":" << options_.known
          << ",\"settings\":" << options_.settings << "}\n";
     file.close();
-    std::rename((folder_ + "/" + options_.name + ".json.new").c_str(), (folder_ + "/" + options_.name + ".json").c_str());
+    std::rename((folder_ + "/" + options_.name + ".json.new").c_str(),
+                (folder_ + "/" + options_.name + ".json").c_str());
   }
   // Replaces the configuration and sends SIGHUP.
   void move_discovery(const std::string& discovery) {
@@ -599,7 +605,8 @@
     if (pid_ < 0) cannot_run("fork failed");
     if (pid_ > 0) return;
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // the router does not outlive the case
-    const int log = ::open((folder_ + "/" + options_.name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int log =
+        ::open((folder_ + "/" + options_.name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(log, 1);
     ::dup2(log, 2);
     ::setenv("PROXY_NAME", options_.name.c_str(), 1);
@@ -623,7 +630,8 @@
   std::string facts;  // the value of X-Facts
   std::string text() const {
     std::string text = method + " " + path + " HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: " + id +
-                       "\r\nX-Account: " + account + "\r\nX-Time-Left-Ms: " + std::to_string(time_left_ms) + "\r\n";
+                       "\r\nX-Account: " + account + "\r\nX-Time-Left-Ms: " + std::to_string(time_left_ms) +
+                       "\r\n";
     if (!key.empty()) text += "Idempotency-Key: " + key + "\r\n";
     if (!facts.empty()) text += "X-Facts: " + facts + "\r\n";
     if (method == "POST") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
