--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins of the cases, and the further tests, into review/bin/, with the compiler that builds the router and nothing else.
+# Builds the stand-ins of the cases, and the further tests, into review/bin/, with the compiler that builds the router
+# and nothing else.
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
