--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -80,11 +80,17 @@
 
 // ---- Sockets ----
 
+// The loopback address of this program's listeners. Each process has its own, so that a port that is free
+// here is taken by no other test and by no outgoing connection.
+inline std::uint32_t own_address() {
+  const std::uint32_t pid = static_cast<std::uint32_t>(::getpid());
+  return 127U << 24 | (1 + pid / 250 % 250) << 16 | (1 + pid % 250) << 8 | 1U;
+}
 struct Listening {
   int fd = -1;
   int port = 0;
 };
-// Listens at 127.0.0.1, at a free port if `port` is 0.
+// Listens at own_address(), at a free port if `port` is 0.
 inline Listening listen_at(int port = 0, int backlog = 1024) {
   Listening listening;
   listening.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -92,7 +98,7 @@
   ::setsockopt(listening.fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   sockaddr_in at{};
   at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_addr.s_addr = htonl(own_address());
   at.sin_port = htons(static_cast<std::uint16_t>(port));
   if (::bind(listening.fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) cannot_run("bind failed");
   if (::listen(listening.fd, backlog) != 0) cannot_run("listen failed");
@@ -106,13 +112,17 @@
   ::close(listening.fd);
   return listening.port;
 }
-inline std::string address_of(int port) { return "127.0.0.1:" + std::to_string(port); }
+inline std::string address_of(int port) {
+  const std::uint32_t at = own_address();
+  return "127." + std::to_string(at >> 16 & 255) + "." + std::to_string(at >> 8 & 255) +
+         ".1:" + std::to_string(port);
+}
 inline int connect_to(int port) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (fd < 0) return -1;
   sockaddr_in at{};
   at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_addr.s_addr = htonl(own_address());
   at.sin_port = htons(static_cast<std::uint16_t>(port));
   const int on = 1;
   ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -133,7 +143,7 @@
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   sockaddr_in at{};
   at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_addr.s_addr = htonl(own_address());
   at.sin_port = htons(static_cast<std::uint16_t>(port));
   (void)!::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
   return fd;
