Review: the test's own address is the same in the router's environment

Cause: the address was taken from the process id of the child, so the router listened elsewhere. Change: it is computed once.

--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -83,7 +83,8 @@
 // The loopback address of this program's listeners. Each process has its own, so that a port that is free
 // here is taken by no other test and by no outgoing connection.
 inline std::uint32_t own_address() {
-  const std::uint32_t pid = static_cast<std::uint32_t>(::getpid());
+  static const std::uint32_t pid =
+      static_cast<std::uint32_t>(::getpid());  // also in the child that becomes the router
   return 127U << 24 | (1 + pid / 250 % 250) << 16 | (1 + pid % 250) << 8 | 1U;
 }
 struct Listening {
