A refused call to discovery no longer renews the lease of the endpoint list

What callers could see: if an endpoint begins to drain and discovery's process ends before the router has the change, the router sends to the endpoint for as long as discovery is down. Found by reading, on the path beside the silent watch's.

Cause: EndpointLease::on_discovery_unreachable() renewed a lease that had not expired, since a discovery that is down announces nothing. What it had before counts as notified 6 s after it had it all the same, or 6 s after the watch fell silent.

Change: a failed call renews nothing, however it fails. Endpoints that accept a request after the watch has ended may be used for 6.55 s more, which is sound whatever was missed. WatchEnd no longer says whether the call was refused.

Tests: DoesNotRenewTheLeaseWhenDiscoveryRefusesConnections failed before and passes.

--- a/src/policy/endpoint_lease.cpp
+++ b/src/policy/endpoint_lease.cpp
@@ -19,7 +19,7 @@
 void EndpointLease::on_line_received(Instant now) {
   // A line describes the list at the time when it was written. The arrival of its first byte is the closest
   // known time.
-  confirmed_at_ = renewed_at_ = std::min(now, line_started_at_);
+  confirmed_at_ = std::min(now, line_started_at_);
   line_started_at_ = Instant::never();
   early_notification_until_ = Instant();
   is_watched_ = true;
@@ -34,10 +34,6 @@
   early_notification_until_ = silent ? now + settings_.max_notification_delay : now;
 }
 
-void EndpointLease::on_discovery_unreachable(Instant now) {
-  if (now < valid_until()) renewed_at_ = now;
-}
-
 LeaseState EndpointLease::state(Instant now) const {
   if (now >= valid_until()) return LeaseState::kExpired;
   const bool is_fresh = is_watched_ && line_started_at_ == Instant::never();
@@ -57,7 +53,7 @@
 }
 
 Instant EndpointLease::valid_until() const {
-  return std::min(renewed_at_ + settings_.max_notification_delay + usable_drain_grace(), blocked_from());
+  return std::min(confirmed_at_ + settings_.max_notification_delay + usable_drain_grace(), blocked_from());
 }
 
 Instant EndpointLease::blocked_from() const {
--- a/src/policy/endpoint_lease.hpp
+++ b/src/policy/endpoint_lease.hpp
@@ -57,10 +57,8 @@
   // announces counts as notified from then on.
   void on_line_started(Instant now);
   // Called when a watch or a call has ended. `silent` says that it was closed because it had stopped sending.
+  // A call that fails, however it does, renews nothing: it does not show what discovery knew before.
   void on_watch_ended(Instant now, bool silent);
-  // Called when the machine of discovery refuses connections. Discovery can then have announced no change, so
-  // a lease that has not expired is renewed.
-  void on_discovery_unreachable(Instant now);
 
   LeaseState state(Instant now) const;
   EndpointListValidity validity() const;
@@ -79,7 +77,6 @@
 
   EndpointLeaseSettings settings_;
   Instant confirmed_at_;
-  Instant renewed_at_;  // confirmed_at_, or when discovery was last known to be unreachable, if later.
   // When the first byte of the incomplete line was received, or never if no line is incomplete.
   Instant line_started_at_ = Instant::never();
   bool is_watched_ = false;  // Whether a watch is open.
--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -63,7 +63,7 @@
   const bool was_open = connection_ != nullptr;
   close_call(WatchEndReason::kAddressChanged);
   if (!watching_) return;
-  if (was_open) observer_.on_watch_ended({WatchEndReason::kAddressChanged, true, false});
+  if (was_open) observer_.on_watch_ended({WatchEndReason::kAddressChanged, true});
   watch();
 }
 
@@ -121,7 +121,7 @@
   const bool was_established = established_;
   close_call(reason);
   ++replacements_;
-  observer_.on_watch_ended({reason, true, false});
+  observer_.on_watch_ended({reason, true});
   const bool first_replacement = was_established && replacements_ == 1;
   start_call(first_replacement ? limits_.replacement_watch_timeout : limits_.discovery_call_timeout);
 }
@@ -137,10 +137,8 @@
 }
 
 void DiscoveryClient::on_closed() {
-  const ConnectionFailure failure = connection_->failure();
-  const bool local = failure == ConnectionFailure::kLocal;
-  end_watch(local ? WatchEndReason::kLocalFailure : WatchEndReason::kClosed,
-            failure == ConnectionFailure::kRefused);
+  const bool local = connection_->failure() == ConnectionFailure::kLocal;
+  end_watch(local ? WatchEndReason::kLocalFailure : WatchEndReason::kClosed);
 }
 
 void DiscoveryClient::on_connected() {
@@ -213,9 +211,9 @@
   loop_.destroy_later(std::move(connection_));
 }
 
-void DiscoveryClient::end_watch(WatchEndReason reason, bool connection_refused) {
+void DiscoveryClient::end_watch(WatchEndReason reason) {
   close_call(reason);
-  observer_.on_watch_ended({reason, false, connection_refused});
+  observer_.on_watch_ended({reason, false});
 }
 
 }  // namespace ashbeam
--- a/src/routing/discovery_client.hpp
+++ b/src/routing/discovery_client.hpp
@@ -70,7 +70,7 @@
   // Returns whether part of the first line, or of a later one, has been received, but not all of it.
   bool has_incomplete_line() const;
   void check_for_stall();
-  void end_watch(WatchEndReason reason, bool connection_refused = false);
+  void end_watch(WatchEndReason reason);
   void close_call(WatchEndReason reason);
   // Returns how far the current call has come, for the log.
   const char* progress_text() const;
--- a/src/routing/endpoint_list_lease.cpp
+++ b/src/routing/endpoint_list_lease.cpp
@@ -34,7 +34,6 @@
 void EndpointListLease::on_watch_ended(const WatchEnd& end) {
   const Instant now = context_.loop.now();
   lease_.on_watch_ended(now, end.reason == WatchEndReason::kSilent || end.reason == WatchEndReason::kStalled);
-  if (end.connection_refused) lease_.on_discovery_unreachable(now);
   on_changed(name_of(end.reason));
 }
 
--- a/src/routing/watch_end.hpp
+++ b/src/routing/watch_end.hpp
@@ -20,8 +20,7 @@
 
 struct WatchEnd {
   WatchEndReason reason = WatchEndReason::kClosed;
-  bool replaced = false;            // another watch has already been started
-  bool connection_refused = false;  // the machine of discovery is up, but nothing listens at the port
+  bool replaced = false;  // another watch has already been started
 };
 
 }  // namespace ashbeam
--- a/tests/endpoint_lease_test.cpp
+++ b/tests/endpoint_lease_test.cpp
@@ -22,7 +22,7 @@
 TEST(EndpointLease, IsExpiredUntilListIsConfirmed) {
   EndpointLease lease(default_settings());
   EXPECT_EQ(lease.state(at(0)), LeaseState::kExpired);
-  lease.on_discovery_unreachable(at(1));
+  lease.on_watch_ended(at(1), false);
   EXPECT_EQ(lease.state(at(1)), LeaseState::kExpired);
 }
 
@@ -53,15 +53,12 @@
   EXPECT_EQ(lease.confirmed_at(), at(11));  // The time at which the line was written.
 }
 
-TEST(EndpointLease, UnreachableDiscoveryRenewsValidLeaseButNotExpiredOne) {
+TEST(EndpointLease, FailedCallsRenewNothing) {
   EndpointLease lease(default_settings());
   lease.on_line_received(at(10));
-  lease.on_watch_ended(at(11), false);
-  lease.on_discovery_unreachable(at(14));
-  EXPECT_EQ(lease.validity().valid_until, at(14) + kMaxNotificationDelay + kUsableGrace);
+  for (const double time : {11.0, 11.3, 14.0}) lease.on_watch_ended(at(time), false);
+  EXPECT_EQ(lease.validity().valid_until, at(10) + kMaxNotificationDelay + kUsableGrace);
   EXPECT_FALSE(lease.is_listed_process(at(12)));  // An unreachable discovery does not confirm the list.
-  lease.on_discovery_unreachable(at(30));
-  EXPECT_EQ(lease.state(at(30)), LeaseState::kExpired);
 }
 
 // Guards against answers that extend validity beyond the notification of a drain that a silent watch missed.
--- a/tests/stale_endpoints_test.cpp
+++ b/tests/stale_endpoints_test.cpp
@@ -113,6 +113,22 @@
   EXPECT_FALSE(is_request_sent_within(300));
 }
 
+// Guards against a lease that each refused call renewed: that discovery is down now does not show that it had
+// announced no change since the last line.
+TEST_F(StaleEndpointsTest, DoesNotRenewTheLeaseWhenDiscoveryRefusesConnections) {
+  settings_.endpoint_poll_interval = Duration::s(1);  // A change counts as notified after that time.
+  limits_.configured_list_validity = Duration();
+  start_router(all_endpoints());
+  Stream watch = open_watch();
+  ASSERT_TRUE(is_request_sent_within(1000));
+  send_line(watch, "");
+  const SteadyTime last_line = steady_now();
+  ::shutdown(discovery_.fd, SHUT_RDWR);
+  watch.reset();
+  sleep_until(last_line + to_ms(settings_.endpoint_poll_interval.s() + kDrainGraceS + kToleranceS));
+  EXPECT_FALSE(is_request_sent_within(300));
+}
+
 // The watch may have stopped receiving changes before its regular end, so the lease counts from its last
 // line.
 TEST_F(StaleEndpointsTest, DoesNotConfirmTheListWhenAWatchEndsRegularly) {
