A new address of discovery ends the lease of the endpoint list after 4 s

Cause: the lease and the extension by answers knew one rule for a missed change, 6 s after discovery has it. What discovery has to announce counts as notified 4 s after SIGHUP. It is the silent watch's cause on a related path.

Change: EndpointLease::on_discovery_moved() ends the lease 4 s and the usable grace later, unless a line has arrived from the new address; until then an accepted request permits attempts for the grace only. Because the decisions keep the time of the accepted request, this also applies to requests accepted before SIGHUP.

Tests: SendsNothingOnceChangesBeforeANewDiscoveryAddressCountAsNotified failed before.

--- a/src/policy/endpoint_lease.cpp
+++ b/src/policy/endpoint_lease.cpp
@@ -21,6 +21,7 @@
   // known time.
   confirmed_at_ = std::min(now, line_started_at_);
   line_started_at_ = Instant::never();
+  notified_by_move_at_ = Instant::never();
   early_notification_until_ = Instant();
   is_watched_ = true;
 }
@@ -31,7 +32,14 @@
 void EndpointLease::on_watch_ended(Instant now, bool silent) {
   if (!is_watched_) return;
   is_watched_ = false;
-  early_notification_until_ = silent ? now + settings_.max_notification_delay : now;
+  const Instant missed_until = silent ? now + settings_.max_notification_delay : now;
+  early_notification_until_ = std::max(early_notification_until_, missed_until);
+}
+
+void EndpointLease::on_discovery_moved(Instant now) {
+  const Instant notified = now + settings_.max_notification_delay_after_move;
+  notified_by_move_at_ = std::min(notified_by_move_at_, notified);
+  early_notification_until_ = std::max(early_notification_until_, notified);
 }
 
 LeaseState EndpointLease::state(Instant now) const {
@@ -53,7 +61,8 @@
 }
 
 Instant EndpointLease::valid_until() const {
-  return std::min(confirmed_at_ + settings_.max_notification_delay + usable_drain_grace(), blocked_from());
+  const Instant notified = std::min(confirmed_at_ + settings_.max_notification_delay, notified_by_move_at_);
+  return std::min(notified + usable_drain_grace(), blocked_from());
 }
 
 Instant EndpointLease::blocked_from() const {
--- a/src/policy/endpoint_lease.hpp
+++ b/src/policy/endpoint_lease.hpp
@@ -15,7 +15,7 @@
 // have
 //   been right after its last line. That the router has closed the watch may not reach discovery, so changes
 //   count as missed for 6 s, not only until the close;
-// - 4 s after the address of discovery was changed.
+// - 4 s after the address of discovery was changed, if it was made before that.
 //
 // What is not known is assumed to be the worst case that the protocol permits. Leases are described by Gray
 // and Cheriton, 1989.
@@ -33,6 +33,8 @@
   // A change counts as notified at most this long after discovery knows of it, and after the watch that
   // misses it fell silent.
   Duration max_notification_delay = Duration::s(6);
+  // What discovery has to announce counts as notified at most this long after its address was changed.
+  Duration max_notification_delay_after_move = Duration::s(4);
   // No new attempt may go to an endpoint once this time has passed since the notification of its drain.
   Duration drain_grace;
   // The maximum time from the decision to send an attempt until its first byte is sent.
@@ -59,6 +61,8 @@
   // Called when a watch or a call has ended. `silent` says that it was closed because it had stopped sending.
   // A call that fails, however it does, renews nothing: it does not show what discovery knew before.
   void on_watch_ended(Instant now, bool silent);
+  // Called when the address of discovery has been changed, before the watch at the former address is closed.
+  void on_discovery_moved(Instant now);
 
   LeaseState state(Instant now) const;
   EndpointListValidity validity() const;
@@ -80,6 +84,9 @@
   // When the first byte of the incomplete line was received, or never if no line is incomplete.
   Instant line_started_at_ = Instant::never();
   bool is_watched_ = false;  // Whether a watch is open.
+  // When missed changes count as notified because the address of discovery was changed, or never if a line
+  // has been received since.
+  Instant notified_by_move_at_ = Instant::never();
   // While no watch is open: see EndpointListValidity::early_notification_until.
   Instant early_notification_until_;
 };
--- a/src/routing/endpoint_list_lease.cpp
+++ b/src/routing/endpoint_list_lease.cpp
@@ -37,6 +37,11 @@
   on_changed(name_of(end.reason));
 }
 
+void EndpointListLease::on_discovery_moved() {
+  lease_.on_discovery_moved(context_.loop.now());
+  publish();
+}
+
 void EndpointListLease::on_endpoint_answered(EndpointIndex endpoint, Instant sent,
                                              Instant connection_opened) {
   if (lease_.is_listed_process(connection_opened))
--- a/src/routing/endpoint_list_lease.hpp
+++ b/src/routing/endpoint_list_lease.hpp
@@ -26,6 +26,8 @@
   void on_line_started();
   // Called when a watch, or a call that would have become one, has ended.
   void on_watch_ended(const WatchEnd& end);
+  // Called when the address of discovery has been changed, before the watch at the former address is closed.
+  void on_discovery_moved();
 
   policy::LeaseState state() const { return lease_.state(context_.loop.now()); }
   // Returns when the list was last confirmed; far in the past if it never was.
--- a/src/routing/endpoint_watch.cpp
+++ b/src/routing/endpoint_watch.cpp
@@ -27,7 +27,9 @@
 }
 
 void EndpointWatch::change_address(const std::string& discovery_address) {
-  if (discovery_address != discovery_.address()) discovery_.change_address(discovery_address);
+  if (discovery_address == discovery_.address()) return;
+  lease_.on_discovery_moved();
+  discovery_.change_address(discovery_address);
 }
 
 void EndpointWatch::on_endpoint_list(const EndpointList& list) {
--- a/tests/endpoint_lease_test.cpp
+++ b/tests/endpoint_lease_test.cpp
@@ -16,7 +16,10 @@
 constexpr Duration kGrace = Duration::s(1), kSendDelay = Duration::ms(450),
                    kMaxNotificationDelay = Duration::s(6);
 constexpr Duration kMaxNetworkDelay = Duration::ms(50), kUsableGrace = kGrace - kSendDelay;
-EndpointLeaseSettings default_settings() { return {kMaxNotificationDelay, kGrace, kSendDelay}; }
+constexpr Duration kMaxNotificationDelayAfterMove = Duration::s(4);
+EndpointLeaseSettings default_settings() {
+  return {kMaxNotificationDelay, kMaxNotificationDelayAfterMove, kGrace, kSendDelay};
+}
 Instant at(double seconds) { return Instant::at_us(0) + Duration::s(seconds); }
 
 TEST(EndpointLease, IsExpiredUntilListIsConfirmed) {
@@ -87,10 +90,26 @@
   EXPECT_EQ(lease.validity().extended_until(at(12)), at(12) + kMaxNotificationDelay + kUsableGrace);
 }
 
+// Guards against a lease that counts on beyond the notification of what the former address had to announce.
+TEST(EndpointLease, NewAddressOfDiscoveryEndsLeaseEarlierUntilALineIsReceived) {
+  EndpointLease lease(default_settings());
+  lease.on_line_received(at(10));
+  lease.on_discovery_moved(at(11));
+  lease.on_watch_ended(at(11), false);
+  lease.on_discovery_moved(at(12));  // The first change of the address counts, too.
+  const Instant first_notified = at(11) + kMaxNotificationDelayAfterMove;
+  const Instant last_notified = at(12) + kMaxNotificationDelayAfterMove;
+  EXPECT_EQ(lease.validity().valid_until, first_notified + kUsableGrace);
+  EXPECT_EQ(lease.validity().extended_until(first_notified), first_notified + kUsableGrace);
+  EXPECT_EQ(lease.validity().extended_until(last_notified),
+            last_notified + kMaxNotificationDelay + kUsableGrace);
+  lease.on_line_received(at(13));
+  EXPECT_EQ(lease.validity().valid_until, at(13) + kMaxNotificationDelay + kUsableGrace);
+}
+
 // The generated history of one endpoint, whose process drains and is replaced by another at the same address,
-// and of watches that lag, stall in the middle of a line, are ended by discovery or stop sending. Discovery
-// is down after some of them, and refuses calls. The history is complete before the lease is tested, so the
-// model knows all of it.
+// and of watches that lag, stall in the middle of a line, stop sending, or are ended by discovery or by a
+// change of its address. The history is complete before the lease is tested, so the model knows all of it.
 struct Process {
   Instant begins, drains, ends;  // Accepts requests from `begins` until `drains`.
 };
@@ -101,6 +120,7 @@
   std::vector<Line> lines;
   Instant silent_from = Instant::never();  // From when it missed changes, or never if discovery ended it.
   Instant ends;                            // When the router notices its end, or closes it.
+  bool ended_by_move = false;              // The address of discovery is changed then.
   Instant next_watch;
 };
 
@@ -130,7 +150,9 @@
         if (line.first_byte <= now) lease.on_line_started(line.first_byte);
         if (line.complete <= now) lease.on_line_received(line.complete);
       }
-      if (watch.ends <= now) lease.on_watch_ended(watch.ends, watch.silent_from < Instant::never());
+      if (watch.ends > now) break;
+      if (watch.ended_by_move) lease.on_discovery_moved(watch.ends);
+      lease.on_watch_ended(watch.ends, watch.silent_from < Instant::never());
     }
     return lease;
   }
@@ -157,6 +179,9 @@
       const Instant missed_until = watch.silent_from + kMaxNotificationDelay;
       if (watch.silent_from >= list_written && watch.silent_from <= drains && drains <= missed_until)
         notified = std::min(notified, missed_until);
+      const Instant notified_by_move = watch.ends + kMaxNotificationDelayAfterMove;
+      if (watch.ended_by_move && watch.ends >= list_written && drains <= notified_by_move)
+        notified = std::min(notified, notified_by_move);
       for (const Line& line : watch.lines) {
         if (line.written >= drains) notified = std::min(notified, line.first_byte);
       }
@@ -174,6 +199,7 @@
     if (silent) watch.silent_from = stalls ? last.written : std::max(until, last.written);
     watch.ends = silent ? (stalls ? last.first_byte : last.complete) + kSilenceTimeout
                         : std::max(until, last.complete);
+    watch.ended_by_move = random_.next_double() < 0.2;
     watch.next_watch = watch.ends + Duration::s(25 * random_.next_double() * random_.next_double());
     watches_.push_back(watch);
   }
--- a/tests/stale_endpoints_test.cpp
+++ b/tests/stale_endpoints_test.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr double kMaxNotificationDelayS = 6;
+constexpr double kMaxNotificationDelayAfterMoveS = 4;
 constexpr double kDrainGraceS = 1;
 constexpr double kToleranceS = 0.05;
 
@@ -129,6 +130,23 @@
   EXPECT_FALSE(is_request_sent_within(300));
 }
 
+// Guards against a lease that took no account of a new address of discovery: what discovery has to tell
+// counts as notified 4 s after the change, even if the new address does not answer.
+TEST_F(StaleEndpointsTest, SendsNothingOnceChangesBeforeANewDiscoveryAddressCountAsNotified) {
+  const FullListener unreachable;
+  limits_.configured_list_validity = Duration();
+  start_router(all_endpoints());
+  Stream watch = open_watch();
+  ASSERT_TRUE(is_request_sent_within(1000));
+  new_discovery_ = unreachable.address();
+  run_on_loop([this] { service_->change_addresses(new_discovery_, release_platform_.address()); });
+  const SteadyTime moved = steady_now();
+  sleep_until(moved + to_ms(kMaxNotificationDelayAfterMoveS - 0.5));
+  EXPECT_TRUE(is_request_sent_within(300));
+  sleep_until(moved + to_ms(kMaxNotificationDelayAfterMoveS + kDrainGraceS + kToleranceS));
+  EXPECT_FALSE(is_request_sent_within(300));
+}
+
 // The watch may have stopped receiving changes before its regular end, so the lease counts from its last
 // line.
 TEST_F(StaleEndpointsTest, DoesNotConfirmTheListWhenAWatchEndsRegularly) {
