Where lists are pushed, an unavailable discovery is called again within the drain grace

Cause: CallPacing spread all failed calls over up to 9 s, so the router noticed the return that late. The pauses protect an overloaded discovery; one that refuses a call at once is not overloaded. Evidence: the late attempts end with the first list after the return, on a call that began 1 to 5 s after it.

Change: DiscoveryClient says whether discovery ended a call within 0.2 s and without a byte. Where the list is pushed, such a call is repeated after 0.15 to 0.45 s however often it failed. Other failures, and lists that are asked for, are paced as before.

Tests: CallsUnavailableDiscoveryWithinTheDrainGraceWhereListsArePushed and RepeatsCallsSoonWhereTheListIsPushedAndDiscovery- IsUnavailable fail without the change. BacksOffFailedCallsUntilEndpointListArrives covers both kinds of failure with its bounds.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -98,6 +98,8 @@
   Duration replacement_watch_timeout = Duration::ms(1500);
   // Until the first line of any other call. It is longer because discovery queues calls.
   Duration discovery_call_timeout = Duration::ms(4500);
+  // A call that discovery ends within this time, without an answer, has not waited in its queue.
+  Duration max_unavailable_call_time = Duration::ms(200);
   // Maximum time without a byte within a line. It is short because a line whose first byte has arrived
   // already counts as notified, and longer than one TCP retransmission timeout (RFC 6298: 0.2 s on Linux).
   Duration watch_stall_timeout = Duration::ms(400);
--- a/src/policy/call_pacing.hpp
+++ b/src/policy/call_pacing.hpp
@@ -27,10 +27,13 @@
   Duration on_failure(double random_fraction) {
     const Duration mean = waits_[failure_count_];
     if (failure_count_ + 1 < waits_.size()) ++failure_count_;
-    return mean * (0.5 + random_fraction);
+    return jittered(mean, random_fraction);
   }
+  // Returns the delay before a call that is to be repeated soon, however often it has failed.
+  static Duration short_delay(double random_fraction) { return jittered(kFirstWait, random_fraction); }
 
  private:
+  static Duration jittered(Duration mean, double random_fraction) { return mean * (0.5 + random_fraction); }
   static constexpr Duration kFirstWait = Duration::ms(300);
   std::array<Duration, 4> waits_;  // Mean delays by the number of earlier failures.
   std::size_t failure_count_ = 0;  // Failures since the last success, up to the last index of waits_.
--- a/src/policy/request_router.hpp
+++ b/src/policy/request_router.hpp
@@ -45,7 +45,7 @@
   void begin_endpoint_update(bool complete) override;
   void update_endpoint(const EndpointUpdate& update) override;
   void end_endpoint_update() override;
-  void on_endpoint_watch_failed() override;
+  void on_endpoint_watch_failed(EndpointWatchFailure failure) override;
   void set_endpoint_list_validity(const EndpointListValidity& validity) override;
   void on_endpoint_accepted_request(EndpointIndex endpoint, Instant sent) override;
 
--- a/src/policy/router_policy.hpp
+++ b/src/policy/router_policy.hpp
@@ -28,6 +28,13 @@
   Instant started_at;         // When its process started. Instant() means long ago.
 };
 
+// Why there is no watch on the endpoint list.
+enum class EndpointWatchFailure : std::uint8_t {
+  kUnavailable,  // Discovery has ended the call at once and without an answer, so the call has cost it
+                 // nothing.
+  kOther,        // Discovery may be overloaded.
+};
+
 // A request that has been received completely.
 struct RequestArrival {
   RequestId request = 0;
@@ -112,7 +119,7 @@
   // Ends the update.
   virtual void end_endpoint_update() = 0;
   // Called when a watch on the endpoint list could not be opened or has ended.
-  virtual void on_endpoint_watch_failed() = 0;
+  virtual void on_endpoint_watch_failed(EndpointWatchFailure failure) = 0;
   // Replaces the validity of the endpoint list.
   virtual void set_endpoint_list_validity(const EndpointListValidity& validity) = 0;
   // Called when an answer shows that the endpoint, which is still the listed process, has accepted a request
--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -63,7 +63,7 @@
   const bool was_open = connection_ != nullptr;
   close_call(WatchEndReason::kAddressChanged);
   if (!watching_) return;
-  if (was_open) observer_.on_watch_ended({WatchEndReason::kAddressChanged, true});
+  if (was_open) observer_.on_watch_ended({.reason = WatchEndReason::kAddressChanged, .replaced = true});
   watch();
 }
 
@@ -121,7 +121,7 @@
   const bool was_established = established_;
   close_call(reason);
   ++replacements_;
-  observer_.on_watch_ended({reason, true});
+  observer_.on_watch_ended({.reason = reason, .replaced = true});
   const bool first_replacement = was_established && replacements_ == 1;
   start_call(first_replacement ? limits_.replacement_watch_timeout : limits_.discovery_call_timeout);
 }
@@ -212,8 +212,13 @@
 }
 
 void DiscoveryClient::end_watch(WatchEndReason reason) {
+  const bool unavailable = reason == WatchEndReason::kClosed && was_ended_at_once();
   close_call(reason);
-  observer_.on_watch_ended({reason, false});
+  observer_.on_watch_ended({.reason = reason, .unavailable = unavailable});
+}
+
+bool DiscoveryClient::was_ended_at_once() const {
+  return call_bytes_ == 0 && loop_.now() - call_started_at_ <= limits_.max_unavailable_call_time;
 }
 
 }  // namespace ashbeam
--- a/src/routing/discovery_client.hpp
+++ b/src/routing/discovery_client.hpp
@@ -71,6 +71,8 @@
   bool has_incomplete_line() const;
   void check_for_stall();
   void end_watch(WatchEndReason reason);
+  // Returns whether the current call, which discovery has ended, was ended at once and without an answer.
+  bool was_ended_at_once() const;
   void close_call(WatchEndReason reason);
   // Returns how far the current call has come, for the log.
   const char* progress_text() const;
--- a/src/routing/endpoint_watch.cpp
+++ b/src/routing/endpoint_watch.cpp
@@ -50,7 +50,9 @@
 void EndpointWatch::on_watch_ended(const WatchEnd& end) {
   lease_.on_watch_ended(end);
   if (lost_watches_++ == 0) context_.log(std::string("discovery: watch ended: ") + name_of(end.reason));
-  if (!end.replaced) context_.policy.at_now().on_endpoint_watch_failed();
+  if (end.replaced) return;
+  context_.policy.at_now().on_endpoint_watch_failed(end.unavailable ? EndpointWatchFailure::kUnavailable
+                                                                    : EndpointWatchFailure::kOther);
 }
 
 }  // namespace ashbeam
--- a/src/routing/watch_end.hpp
+++ b/src/routing/watch_end.hpp
@@ -20,7 +20,8 @@
 
 struct WatchEnd {
   WatchEndReason reason = WatchEndReason::kClosed;
-  bool replaced = false;  // another watch has already been started
+  bool replaced = false;     // another watch has already been started
+  bool unavailable = false;  // discovery has ended the call at once and without an answer
 };
 
 }  // namespace ashbeam
--- a/src/simhost/router_instance.cpp
+++ b/src/simhost/router_instance.cpp
@@ -56,7 +56,8 @@
 }
 
 void RouterInstance::handle(EndpointWatchFailedEvent, Instant now) {
-  call_router(now, [](RouterPolicy& router) { router.on_endpoint_watch_failed(); });
+  call_router(now,
+              [](RouterPolicy& router) { router.on_endpoint_watch_failed(EndpointWatchFailure::kOther); });
 }
 
 void RouterInstance::handle(const RequestEvent& event, Instant now) {
--- a/tests/policy/call_pacing_test.cpp
+++ b/tests/policy/call_pacing_test.cpp
@@ -16,7 +16,9 @@
   settings.must_watch_endpoints = true;
   SimulatedRouter router(settings);
   for (unsigned i = 0; i < 40; ++i) {
-    router.policy->on_endpoint_watch_failed();
+    // Discovery that is asked for its list may have many callers when it is available again.
+    router.policy->on_endpoint_watch_failed(i % 2 == 0 ? EndpointWatchFailure::kOther
+                                                       : EndpointWatchFailure::kUnavailable);
     router.policy->on_wakeup(2);
     EXPECT_EQ(router.actions.watch_count, i + 2U);
     const Duration mean = i < 1 ? Duration::ms(300) : i < 3 ? Duration::s(3) : Duration::s(6);
@@ -26,9 +28,22 @@
     router.set_release(1, 2, ReleasePhase::kReleased, 1);
   }
   router.set_endpoints(8, 0);
-  router.policy->on_endpoint_watch_failed();
+  router.policy->on_endpoint_watch_failed(EndpointWatchFailure::kOther);
   EXPECT_LT(router.actions.wakeups[2], Duration::s(1));
 }
 
+TEST(CallPacing, RepeatsCallsSoonWhereTheListIsPushedAndDiscoveryIsUnavailable) {
+  RouterSettings settings = default_settings();
+  settings.must_watch_endpoints = false;
+  SimulatedRouter router(settings);
+  for (unsigned i = 0; i < 40; ++i) {
+    router.policy->on_endpoint_watch_failed(EndpointWatchFailure::kUnavailable);
+    EXPECT_LE(router.actions.wakeups[2], Duration::ms(450));
+  }
+  // Discovery that keeps its callers waiting is overloaded.
+  for (unsigned i = 0; i < 3; ++i) router.policy->on_endpoint_watch_failed(EndpointWatchFailure::kOther);
+  EXPECT_GE(router.actions.wakeups[2], Duration::ms(1500));
+}
+
 }  // namespace
 }  // namespace ashbeam
--- a/tests/stale_endpoints_test.cpp
+++ b/tests/stale_endpoints_test.cpp
@@ -147,6 +147,19 @@
   EXPECT_FALSE(is_request_sent_within(300));
 }
 
+// Guards against calls that are too rare while discovery is down: where lists are pushed, what it has to tell
+// at its return counts as notified at once, and the router asked it up to 9 s later.
+TEST_F(StaleEndpointsTest, CallsUnavailableDiscoveryWithinTheDrainGraceWhereListsArePushed) {
+  settings_.must_watch_endpoints = false;
+  start_router(all_endpoints());
+  open_watch().reset();
+  const SteadyTime first_call = steady_now();
+  while (seconds_between(first_call, steady_now()) < 4) {
+    ASSERT_TRUE(discovery_.has_pending(550)) << seconds_between(first_call, steady_now());
+    discovery_.accept().reset();
+  }
+}
+
 // The watch may have stopped receiving changes before its regular end, so the lease counts from its last
 // line.
 TEST_F(StaleEndpointsTest, DoesNotConfirmTheListWhenAWatchEndsRegularly) {
