--- a/src/policy/endpoint_lease.hpp
+++ b/src/policy/endpoint_lease.hpp
@@ -11,10 +11,9 @@
 //
 // - when the change has been written to a watch;
 // - 6 s after discovery knows of it;
-// - 6 s after a watch fell silent, if the watch missed it. Nothing shows when a watch fell silent: it may
-// have
-//   been right after its last line. That the router has closed the watch may not reach discovery, so changes
-//   count as missed for 6 s, not only until the close;
+// - 6 s after a watch fell silent, if the watch missed it. Nothing shows when that was: right after the last
+//   line, or just before the router closed the watch. That it was closed may not reach a discovery that is
+//   cut off, so changes may count as missed after the close, too, until the 6 s are over;
 // - 4 s after the address of discovery was changed, if it was made before that.
 //
 // What is not known is assumed to be the worst case that the protocol permits. Leases are described by Gray
@@ -65,6 +64,7 @@
   void on_discovery_moved(Instant now);
 
   LeaseState state(Instant now) const;
+  // Returns until when attempts may start, as far as it is known now.
   EndpointListValidity validity() const;
   // Returns whether an answer on a connection that was opened at `opened` shows that the listed process has
   // accepted the request. The connection must have been opened before the list was last confirmed.
