--- a/src/policy/endpoint.hpp
+++ b/src/policy/endpoint.hpp
@@ -13,8 +13,7 @@
 namespace ashbeam::policy {
 
 struct Endpoint {
-  // ---- The entry in the endpoint list. Changed by EndpointTable, last_accepted by RequestRouter.
-  // ----
+  // ---- The entry in the endpoint list. Changed by EndpointTable; RequestRouter sets last_accepted. ----
   EndpointState state = EndpointState::kRemoved;
   bool named_in_update = false;  // Whether the current update of the endpoint list has named it.
   ReleaseVersion version = 0;
--- a/src/policy/router_policy.hpp
+++ b/src/policy/router_policy.hpp
@@ -30,8 +30,7 @@
 
 // Why there is no watch on the endpoint list.
 enum class EndpointWatchFailure : std::uint8_t {
-  kUnavailable,  // Discovery has ended the call at once and without an answer, so the call has cost it
-                 // nothing.
+  kUnavailable,  // Discovery has ended the call at once and without an answer.
   kOther,        // Discovery may be overloaded.
 };
 
--- a/src/routing/request_lifecycle.cpp
+++ b/src/routing/request_lifecycle.cpp
@@ -80,10 +80,10 @@
 
 void RequestLifecycle::log_attempt_begin(RequestId id, unsigned attempt, EndpointIndex endpoint,
                                          Duration time_left) {
+  if (!context_.detail_log.is_enabled(LogTopic::kRequests)) return;
   context_.detail_log.write_line(
       LogTopic::kRequests, context_.loop.now(),
-      "request %u: attempt %u to endpoint %u at %s, release %.0f, timeout %.0f ms, "
-      "endpoint list lease %s",
+      "request %u: attempt %u to endpoint %u at %s, release %.0f, timeout %.0f ms, endpoint list lease %s",
       id, attempt, endpoint, registry_.address(endpoint).c_str(), registry_.version(endpoint), time_left.ms(),
       policy::name_of(lease_.state()));
 }
--- a/tests/endpoint_lease_test.cpp
+++ b/tests/endpoint_lease_test.cpp
@@ -62,6 +62,8 @@
   for (const double time : {11.0, 11.3, 14.0}) lease.on_watch_ended(at(time), false);
   EXPECT_EQ(lease.validity().valid_until, at(10) + kMaxNotificationDelay + kUsableGrace);
   EXPECT_FALSE(lease.is_listed_process(at(12)));  // An unreachable discovery does not confirm the list.
+  lease.on_watch_ended(at(30), false);
+  EXPECT_EQ(lease.state(at(30)), LeaseState::kExpired);
 }
 
 // Guards against answers that extend validity beyond the notification of a drain that a silent watch missed.
--- a/tests/policy/rule_guards_test.cpp
+++ b/tests/policy/rule_guards_test.cpp
@@ -27,37 +27,30 @@
   validity.early_notification_until = now - Duration::s(3);
   validity.early_extension = Duration::s(2);
   validity.extension = Duration::s(4);
-  router.policy->set_endpoint_list_validity(validity);
-  router.request();
-  EXPECT_EQ(router.actions.attempts.size(), 1U);
+  const auto attempts_after_request = [&] {
+    router.policy->set_endpoint_list_validity(validity);
+    router.request();
+    return router.actions.attempts.size();
+  };
+  EXPECT_EQ(attempts_after_request(), 1U);
   validity.valid_until = now;
-  router.policy->set_endpoint_list_validity(validity);
-  router.request();
-  EXPECT_EQ(router.actions.attempts.size(), 1U);
+  EXPECT_EQ(attempts_after_request(), 1U);
   EXPECT_EQ(router.actions.rejected.size(), 1U);  // Rejected at once, without waiting for an endpoint.
   // An accepted request extends the validity of its endpoint only by the time that applies to it.
   router.policy->on_endpoint_accepted_request(0, now - Duration::s(3.5));
   router.policy->on_endpoint_accepted_request(1, now - Duration::s(4));
-  router.request();
-  EXPECT_EQ(router.actions.attempts.size(), 1U);
+  EXPECT_EQ(attempts_after_request(), 1U);
   router.policy->on_endpoint_accepted_request(2, now - Duration::s(2.5));
-  router.request();
-  ASSERT_EQ(router.actions.attempts.size(), 2U);
+  ASSERT_EQ(attempts_after_request(), 2U);
   EXPECT_EQ(router.actions.attempts.back().endpoint, 2U);
   // More changes than was assumed may count as notified early, also for requests accepted before.
   validity.early_notification_until = now;
-  router.policy->set_endpoint_list_validity(validity);
-  router.request();
-  EXPECT_EQ(router.actions.attempts.size(), 2U);
+  EXPECT_EQ(attempts_after_request(), 2U);
   router.policy->on_endpoint_accepted_request(1, now - Duration::s(1));
-  router.request();
-  ASSERT_EQ(router.actions.attempts.size(), 3U);
+  ASSERT_EQ(attempts_after_request(), 3U);
   EXPECT_EQ(router.actions.attempts.back().endpoint, 1U);
-  // A line is incomplete, so no endpoint may receive attempts.
-  validity.blocked_from = now;
-  router.policy->set_endpoint_list_validity(validity);
-  router.request();
-  EXPECT_EQ(router.actions.attempts.size(), 3U);
+  validity.blocked_from = now;  // A line is incomplete, so no endpoint may receive attempts.
+  EXPECT_EQ(attempts_after_request(), 3U);
 }
 
 }  // namespace
--- a/tests/router_fixture.hpp
+++ b/tests/router_fixture.hpp
@@ -108,15 +108,7 @@
   Stream accept(int wait_ms = 1500) const {
     return Stream(has_pending(wait_ms) ? ::accept(fd, nullptr, nullptr) : -1);
   }
-};
-
-// A listener whose accept queue is full: connecting to it neither succeeds nor is refused.
-struct FullListener : FakeListener {
-  enum FillTime { kFillAtOnce, kFillLater };
-  std::vector<Stream> filling;
-  explicit FullListener(FillTime fill_time = kFillAtOnce) {
-    if (fill_time == kFillAtOnce) fill_accept_queue();
-  }
+  // From now on connecting neither succeeds nor is refused.
   void fill_accept_queue() {
     ::listen(fd, 0);
     sockaddr_in address{};
@@ -127,6 +119,12 @@
       ::connect(filling.back().fd, reinterpret_cast<sockaddr*>(&address), size);
     }
   }
+  std::vector<Stream> filling;
+};
+
+// A listener whose accept queue is full: connecting to it neither succeeds nor is refused.
+struct FullListener : FakeListener {
+  FullListener() { fill_accept_queue(); }
 };
 
 inline const char* const kOkAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Kept: 1\r\n\r\nbody";
--- a/tests/router_process.hpp
+++ b/tests/router_process.hpp
@@ -137,7 +137,7 @@
   }
 
  private:
-  FullListener listener_{FullListener::kFillLater};
+  FakeListener listener_;
   Stream watch_{-1};
 };
 
--- a/tests/stale_endpoints_test.cpp
+++ b/tests/stale_endpoints_test.cpp
@@ -42,16 +42,14 @@
   EXPECT_LT(seconds_between(answers.back().sent_at, answers.back().answered_at), 0.2);
 }
 
-// Guards against attempts to endpoints that drain while discovery is cut off: an endpoint's own answers
-// extended its validity, although the changes that a silent watch misses count as notified 6 s after it fell
-// silent. Some endpoints drain while the silent watch is open, others after the router has closed it.
+// Guards against attempts past the grace to an endpoint whose drain a silent watch has missed.
 TEST(StaleEndpointsProcessTest, SendsNothingToEndpointsThatDrainUnderASilentWatch) {
   std::array<RecordingEndpoint, 5> endpoints;
   CutOffDiscovery discovery;
   RouterProcess router(discovery.address(), [](const nlohmann::json&) {});
   discovery.send_list(listed_endpoints(endpoints));
-  // Answers count only on connections that are older than the last confirmation of the list. So most clients
-  // stop then, and the router opens no further connections.
+  // Answers count only on connections older than the last line. As most clients stop then, no more are
+  // opened.
   std::vector<std::unique_ptr<SequentialClient>> clients;
   for (int i = 0; i < 12; ++i) clients.push_back(std::make_unique<SequentialClient>(router.port()));
   sleep_until(steady_now() + to_ms(1));
@@ -114,8 +112,7 @@
   EXPECT_FALSE(is_request_sent_within(300));
 }
 
-// Guards against a lease that each refused call renewed: that discovery is down now does not show that it had
-// announced no change since the last line.
+// Guards against a lease that each call refused by discovery renewed.
 TEST_F(StaleEndpointsTest, DoesNotRenewTheLeaseWhenDiscoveryRefusesConnections) {
   settings_.endpoint_poll_interval = Duration::s(1);  // A change counts as notified after that time.
   limits_.configured_list_validity = Duration();
@@ -130,8 +127,7 @@
   EXPECT_FALSE(is_request_sent_within(300));
 }
 
-// Guards against a lease that took no account of a new address of discovery: what discovery has to tell
-// counts as notified 4 s after the change, even if the new address does not answer.
+// Guards against a lease that outlasts the 4 s after which a move of discovery counts as notified.
 TEST_F(StaleEndpointsTest, SendsNothingOnceChangesBeforeANewDiscoveryAddressCountAsNotified) {
   const FullListener unreachable;
   limits_.configured_list_validity = Duration();
@@ -147,8 +143,7 @@
   EXPECT_FALSE(is_request_sent_within(300));
 }
 
-// Guards against calls that are too rare while discovery is down: where lists are pushed, what it has to tell
-// at its return counts as notified at once, and the router asked it up to 9 s later.
+// Guards against a return of discovery that is noticed only after the grace, where lists are pushed.
 TEST_F(StaleEndpointsTest, CallsUnavailableDiscoveryWithinTheDrainGraceWhereListsArePushed) {
   settings_.must_watch_endpoints = false;
   start_router(all_endpoints());
