--- a/review/8/case.cpp
+++ b/review/7/case.cpp
@@ -1,4 +1,4 @@
-// Case 8: bad clients send a request that cannot be served, and the same again as soon as it is turned away. See
+// Case 7: bad clients send a request that cannot be served, and the same again as soon as it is turned away. See
 // claim.txt.
 #include "lab.hpp"
 
--- a/review/10/case.cpp
+++ b/review/9/case.cpp
@@ -1,4 +1,4 @@
-// Case 10: lists are pushed. Discovery is down for some seconds; at its return its agent has a drain, and calls
+// Case 9: lists are pushed. Discovery is down for some seconds; at its return its agent has a drain, and calls
 // wait in its line. See claim.txt.
 #include "lab.hpp"
 
