--- a/review/lab-2/lab.hpp
+++ b/review/lab-2/lab.hpp
@@ -1,6 +1,6 @@
-// Stand-ins and helpers for the cases of the second review: endpoints, discovery, release platform, clients, a
-// delaying proxy, and the router as a process of its own. Everything is on 127.0.0.1 and on the real clock.
-// Only the C++ standard library and POSIX are used. Each connection has a thread; calls block.
+// Stand-ins and helpers for the cases of the second review: endpoints, discovery, release platform, clients, and
+// the router as a process of its own. Everything is on loopback addresses and on the real clock. Only the C++
+// standard library and POSIX are used. Each connection has a thread; calls block.
 #pragma once
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -86,10 +86,18 @@
 
 // ---- Sockets ----
 
+// Returns the loopback address of this case, 127.A.B.1 by its process id, so that cases that run side by side do
+// not take each other's ports.
+inline const std::string& own_ip() {
+  static const std::string ip = "127." + std::to_string(10 + ::getpid() / 250 % 200) + "." +
+                                std::to_string(1 + ::getpid() % 250) + ".1";
+  return ip;
+}
+
 inline sockaddr_in loopback(int port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ::inet_pton(AF_INET, own_ip().c_str(), &address.sin_addr);
   address.sin_port = htons(static_cast<std::uint16_t>(port));
   return address;
 }
@@ -250,7 +258,7 @@
   using Serve = std::function<void(int fd)>;
   explicit Server(Serve serve, int backlog = 1024) : serve_(std::move(serve)), backlog_(backlog) { open(); }
   int port() const { return port_; }
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::string address() const { return own_ip() + ":" + std::to_string(port_); }
 
   // Listens again at the same port.
   void open() {
@@ -600,62 +608,6 @@
   Server server_;
 };
 
-// ---- The network ----
-
-// Passes bytes on to `target` in both directions, each piece `delay_ms` later.
-class DelayProxy {
- public:
-  DelayProxy(int target, double delay_ms) : target_(target), delay_ms_(delay_ms), server_([this](int fd) { serve(fd); }) {}
-  std::string address() const { return server_.address(); }
-
- private:
-  struct Pipe {
-    std::mutex mutex;
-    std::condition_variable filled;
-    std::deque<std::pair<double, std::string>> pieces;  // an empty piece is the end of the stream
-  };
-  void read_from(int fd, Pipe& pipe) const {
-    char bytes[65536];
-    for (;;) {
-      const ssize_t count = ::recv(fd, bytes, sizeof bytes, 0);
-      const std::string piece(bytes, static_cast<std::size_t>(count > 0 ? count : 0));
-      {
-        const std::lock_guard lock(pipe.mutex);
-        pipe.pieces.emplace_back(now_ms() + delay_ms_, piece);
-      }
-      pipe.filled.notify_one();
-      if (count <= 0) return;
-    }
-  }
-  static void write_to(int fd, Pipe& pipe) {
-    for (;;) {
-      std::pair<double, std::string> piece;
-      {
-        std::unique_lock lock(pipe.mutex);
-        pipe.filled.wait(lock, [&] { return !pipe.pieces.empty(); });
-        piece = std::move(pipe.pieces.front());
-        pipe.pieces.pop_front();
-      }
-      sleep_until_ms(piece.first);
-      if (piece.second.empty() || !send_all(fd, piece.second)) break;
-    }
-    ::shutdown(fd, SHUT_RDWR);
-  }
-  void serve(int near) {
-    const int far = connect_to(target_);
-    if (far < 0) return;
-    Pipe there;
-    Pipe back;
-    std::thread threads[] = {std::thread([&] { read_from(near, there); }), std::thread([&] { write_to(far, there); }),
-                             std::thread([&] { read_from(far, back); }), std::thread([&] { write_to(near, back); })};
-    for (std::thread& thread : threads) thread.join();
-    ::close(far);
-  }
-  int target_;
-  double delay_ms_;
-  Server server_;
-};
-
 // ---- Clients ----
 
 struct Request {
@@ -825,7 +777,7 @@
     const std::string path = folder_ + "/" + name_ + ".json";
     {
       std::ofstream file(path + ".new");
-      file << "{\"name\":\"" << name_ << "\",\"listen\":\"127.0.0.1:" << port_ << "\",\"discovery\":\"" << discovery
+      file << "{\"name\":\"" << name_ << "\",\"listen\":\"" << own_ip() << ":" << port_ << "\",\"discovery\":\"" << discovery
            << "\",\"seed\":\"" << std::hex << ::getpid() << port_ << static_cast<long>(now_ms() * 1000) << std::dec
            << "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" << settings_.sockets << "},\"release_api\":{\"address\":\""
            << platform << "\",\"news\":" << news_ << "},\"known\":" << known_
@@ -838,7 +790,7 @@
     const char* const command = std::getenv("CASE_RUN");
     if (!command) cannot_run("CASE_RUN is not set");
     const std::string config = folder_ + "/" + name_ + ".json";
-    const std::string listen = "127.0.0.1:" + std::to_string(port_);
+    const std::string listen = own_ip() + ":" + std::to_string(port_);
     pid_ = ::fork();
     if (pid_ == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // if the case is ended from outside, its processes end with it
