--- a/review/lab-2/lab.hpp
+++ b/review/lab-2/lab.hpp
@@ -849,7 +849,7 @@
   bool trouble = true;
   std::string temp;  // a temporary folder
 
-  // Reads the environment that run.sh sets: CASE_TEMP, CASE_RECORD and TROUBLE.
+  // Reads the environment that run.sh sets: CASE_TEMP, CASE_RECORD, CASE_SECONDS and TROUBLE.
   static Case begin() {
     start_time();
     ::signal(SIGPIPE, SIG_IGN);
@@ -862,6 +862,12 @@
     one.trouble = !trouble || std::string(trouble) != "0";
     Record::get().open(record);
     RECORD("case begins, TROUBLE=%d", one.trouble ? 1 : 0);
+    if (const char* const seconds = std::getenv("CASE_SECONDS")) {
+      std::thread([limit_ms = std::atof(seconds) * 1000] {
+        sleep_ms(limit_ms);
+        cannot_run("the time of the case is over");
+      }).detach();
+    }
     return one;
   }
 };
