--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -9,24 +9,27 @@
 namespace {
 
 constexpr int kHosts = 6;               // at a time
-constexpr int kReplacements = 16;
-constexpr double kWorkMs = 70;
+constexpr int kReplacements = 12;
+constexpr double kWorkMs = 80;
 constexpr int kBacklog = 2;             // of the hosts' listeners, so that connections can be held back
 constexpr double kLateMs = 400;         // new connections to a host come up late by this: up to 1 s
 constexpr double kLateBeforeDrainMs = 200;
 constexpr double kHeldUpMs = 100;       // the router is held up for this: up to 150 ms
 constexpr double kBetweenDrainsMs = 1500;
 constexpr int kRouters = 3;
-constexpr int kClients = 70;             // of each router
+constexpr int kClients = 36;             // of each router
 constexpr double kPauseMs = 60;         // of a client between two requests, on average
-constexpr long kLeftMs = 2000;
+constexpr long kLeftMs = 2000;          // the client timeout of the class
+constexpr double kTargetLatencyMs = 500;
+constexpr double kMinPatience = 0.27;   // of the target latency, of clients that leave early
+constexpr double kMaxPatience = 0.51;
 
 std::atomic<bool> stop_clients{false};
 std::atomic<bool> clients_leave{false};
 std::atomic<long> answered{0}, served{0}, left_early{0}, lost{0}, refused{0};
 
-// A client that sends one request after another. Two of three requests are given up after 120 to 320 ms where
-// clients leave early: the client closes its connection then.
+// A client that sends one request after another. Where clients leave early, two of three requests are given up after
+// 27 to 51% of the target latency: the client closes its connection then.
 void run_client(int port, unsigned seed) {
   std::unique_ptr<MessageReader> reader;
   int fd = -1;
@@ -34,10 +37,14 @@
     seed = seed * 1664525U + 1013904223U;
     sleep_ms(kPauseMs * 2 * ((seed >> 8) % 1000) / 1000.0);
     const bool leaves = clients_leave && (seed >> 4) % 3 != 0;
-    const double patience_ms = leaves ? 120 + (seed >> 12) % 200 : kLeftMs + 550;
+    const double share = kMinPatience + (kMaxPatience - kMinPatience) * ((seed >> 12) % 1000) / 1000.0;
+    const double patience_ms = leaves ? share * kTargetLatencyMs : kLeftMs + 550;
     Request request;
     request.id = new_id();
-    request.path = "/look/" + request.id.substr(12);
+    request.method = "POST";
+    request.path = "/scan/" + request.id.substr(12);
+    request.fields = "Idempotency-Key: " + request.id + "\r\n";
+    request.body = "scan";
     request.left_ms = kLeftMs;
     const bool fresh = fd < 0;
     if (fresh) {
@@ -77,6 +84,20 @@
   return "";
 }
 
+Settings site(int number) {
+  Settings settings;
+  settings.discovery = "automatic";
+  settings.drain_grace_ms = "2000.0";
+  settings.second_copies = true;
+  settings.routers = kRouters;
+  settings.number = number;
+  settings.classes =
+      "{\"name\":\"status\",\"effect\":\"idempotent\",\"goalTimeMs\":1000.0,\"deadlineMs\":2500.0,\"worth\":1.0},"
+      "{\"name\":\"scan\",\"effect\":\"deduplicated\",\"group\":\"zone\",\"memorySpanMs\":1200.0,"
+      "\"goalTimeMs\":500.0,\"deadlineMs\":2000.0,\"worth\":2.0}";
+  return settings;
+}
+
 }  // namespace
 
 int main() {
@@ -94,10 +115,7 @@
   discovery.set(targets);
   std::list<Router> routers;
   for (int i = 0; i < kRouters; ++i) {
-    Settings settings;
-    settings.routers = kRouters;
-    settings.number = i;
-    routers.emplace_back(run.temp, "n" + std::to_string(i), settings, discovery.address(), platform.address(),
+    routers.emplace_back(run.temp, "n" + std::to_string(i), site(i), discovery.address(), platform.address(),
                          discovery.whole_list(), platform.state());
     routers.back().start();
   }
