Begin no attempt for a client that has closed its connection

Cause: the close was known only after the event loop had handled it; the request in front of it, or the attempt's end in the same round, came first.

Each attempt now asks the client's socket for the end of the stream (POLLRDHUP) before it takes or opens a connection, and before it is written to a late one.

--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -37,6 +37,8 @@
   void answer_plain(unsigned status, std::string_view fields = {});
   // Callbacks::on_answer_deadline is called at `when` if the current request has not been answered by then.
   void set_answer_deadline(Instant when) { timer_.schedule_at(when); }
+  // Returns whether the client has closed the connection, even if that has not been reported yet.
+  bool has_client_left() const { return connection_.has_peer_closed(); }
   // Closes the connection after the answer to the current request.
   void close_after_answer() { close_after_answer_ = true; }
   // Returns what the TLS handshake proved about the client, evaluated at `now`. Empty on a plain connection.
--- a/src/routing/endpoint_pools.cpp
+++ b/src/routing/endpoint_pools.cpp
@@ -49,17 +49,21 @@
     connection_.close();
   }
 
-  void send(RequestBuilder build_request, Instant deadline, EndCallback on_end) {
+  // Returns false if the attempt has ended, because its request must not be sent any more.
+  bool send(RequestBuilder build_request, Instant deadline, EndCallback on_end) {
     on_end_ = std::move(on_end);
     deadline_ = deadline;
     answers_.start_next_message();
     if (!connection_.is_connecting()) {
       timer_.schedule_at(deadline);
-      connection_.write(build_request(deadline));
-      return;
+      const auto request = build_request(deadline);
+      if (request) connection_.write(*request);
+      else end_attempt_later(AttemptResult::kCancelledBeforeSent);
+      return request.has_value();
     }
     build_request_ = std::move(build_request);
     timer_.schedule_at(std::min(deadline, pools_.loop_.now() + pools_.connect_timeout_));
+    return true;
   }
 
   // Ends the attempt. To be called from callbacks of the connection only.
@@ -86,7 +90,9 @@
     opened_at_ = pools_.loop_.now();
     if (!is_in_flight()) return;
     timer_.schedule_at(deadline_);
-    connection_.write(std::exchange(build_request_, nullptr)(deadline_));
+    const auto request = std::exchange(build_request_, nullptr)(deadline_);
+    if (!request) return end_attempt(AttemptResult::kCancelledBeforeSent);
+    connection_.write(*request);
   }
 
   void on_data() override {
@@ -243,8 +249,8 @@
     loop_.post([on_end = std::move(on_end)] { on_end(AttemptResult::kLocalFailure, nullptr); });
     return nullptr;
   }
-  connection->send(std::move(build_request), deadline, std::move(on_end));
-  return connection;
+  const bool in_flight = connection->send(std::move(build_request), deadline, std::move(on_end));
+  return in_flight ? connection : nullptr;
 }
 
 void EndpointPools::cancel(PooledConnection* connection) {
--- a/src/routing/endpoint_pools.hpp
+++ b/src/routing/endpoint_pools.hpp
@@ -8,6 +8,7 @@
 #pragma once
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,9 +32,10 @@
   // Called when the attempt has ended. `answer` is null if there is none, and otherwise valid during the call
   // only.
   using EndCallback = std::function<void(AttemptResult, const http::MessageParser* answer)>;
-  // Returns the bytes of the request. Called once the attempt's connection is open; the attempt is given up
-  // at `deadline`.
-  using RequestBuilder = std::function<std::string(Instant deadline)>;
+  // Returns the bytes of the request; none if it must not be sent any more, which ends the attempt as
+  // cancelled before sent. Called once the attempt's connection is open; the attempt is given up at
+  // `deadline`.
+  using RequestBuilder = std::function<std::optional<std::string>(Instant deadline)>;
 
   // `connect_timeout` is the longest time that an attempt waits for its connection.
   EndpointPools(EventLoop& loop, const Limits& limits, Duration connect_timeout);
@@ -44,7 +46,7 @@
   // Closes idle connections that may not be used any more, and ends unwritten attempts that may not be sent.
   void update(EndpointIndex endpoint, const EndpointPoolUpdate& update);
   // Starts an attempt. Returns its connection, for cancel(), which is valid until the attempt has ended; null
-  // if no connection could be made. `on_end` is called in either case.
+  // if no connection could be made or the request must not be sent. `on_end` is called in each case.
   PooledConnection* send(EndpointIndex endpoint, RequestBuilder build_request, Instant deadline,
                          EndCallback on_end);
   // Cancels the attempt. Its EndCallback is called after this function has returned.
--- a/src/routing/request_lifecycle.cpp
+++ b/src/routing/request_lifecycle.cpp
@@ -63,12 +63,15 @@
   const auto on_end = [this, id, attempt](AttemptResult result, const http::MessageParser* answer) {
     on_attempt_end(id, attempt, result, answer);
   };
+  if (has_client_left(id))
+    return context_.loop.post([on_end] { on_end(AttemptResult::kCancelledBeforeSent, nullptr); });
   request.attempts.back().connection = pools_.send(endpoint, build_request, deadline, on_end);
 }
 
 // The time left is computed when the connection is open, which may be long after the routing policy has
 // decided on the attempt.
-std::string RequestLifecycle::build_attempt_request(RequestId id, Instant deadline) {
+std::optional<std::string> RequestLifecycle::build_attempt_request(RequestId id, Instant deadline) {
+  if (has_client_left(id)) return std::nullopt;
   const AcceptedRequest& request = requests_[id].accepted;
   const std::int64_t left_ms = std::max<std::int64_t>(0, (deadline - context_.loop.now()).us() / 1000);
   const std::string time_left = header::field_line(header::kTimeLeftMs, std::to_string(left_ms));
@@ -78,6 +81,22 @@
   return bytes;
 }
 
+// The event loop may report the close only after the event that it handles now, and after an attempt that
+// this event begins. So the socket itself is checked. The close is handled after the current callback,
+// because the routing policy may be in the middle of a decision.
+bool RequestLifecycle::has_client_left(RequestId id) {
+  const ClientConnection* const client = requests_[id].client;
+  if (client && !client->has_client_left()) return false;
+  context_.loop.post([this, id] { release_if_client_left(id); });
+  return true;
+}
+
+// The id may have been assigned to another request since, so the socket is checked again.
+void RequestLifecycle::release_if_client_left(RequestId id) {
+  ClientConnection* const client = requests_[id].client;
+  if (client && client->has_client_left()) on_client_closed(*client);
+}
+
 void RequestLifecycle::log_attempt_begin(RequestId id, unsigned attempt, EndpointIndex endpoint,
                                          Duration time_left) {
   if (!context_.detail_log.is_enabled(LogTopic::kRequests)) return;
--- a/src/routing/request_lifecycle.hpp
+++ b/src/routing/request_lifecycle.hpp
@@ -9,6 +9,7 @@
 #pragma once
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -81,9 +82,14 @@
     unsigned status = 0;
   };
 
-  std::string build_attempt_request(RequestId id, Instant deadline);
+  // Returns the bytes of an attempt. None if the client has left: nothing is begun for it any more.
+  std::optional<std::string> build_attempt_request(RequestId id, Instant deadline);
   void on_attempt_end(RequestId id, unsigned attempt, AttemptResult result,
                       const http::MessageParser* answer);
+  // Returns whether the request has no client any more. If so, the request is ended after the current
+  // callback.
+  bool has_client_left(RequestId id);
+  void release_if_client_left(RequestId id);
   void log_attempt_begin(RequestId id, unsigned attempt, EndpointIndex endpoint, Duration time_left);
   // Marks the attempt as ended. Returns it as it was before, with its connection.
   Attempt take_ended_attempt(RequestId id, unsigned attempt);
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -223,6 +223,11 @@
   return state_ == State::kOpen && peek().status == IoResult::Status::kDone;
 }
 
+bool Connection::has_peer_closed() const {
+  if (state_ != State::kOpen && state_ != State::kHandshaking) return state_ != State::kConnecting;
+  return is_stream_ended(fd());
+}
+
 void Connection::clear_input() {
   std::string().swap(input_);
   consumed_ = 0;
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -79,6 +79,9 @@
   // closed it. Checks the socket itself, and therefore also sees events that the event loop has not handled
   // yet.
   bool is_idle() const;
+  // Returns whether the peer has closed the connection or reset it. Checks the socket itself: the end of the
+  // stream is seen behind unread bytes, and before the event loop has handled it.
+  bool has_peer_closed() const;
 
   // Writes as many bytes as the socket takes at once, and buffers the rest until the socket is writable.
   void write(std::string_view bytes);
--- a/src/transport/io_result.cpp
+++ b/src/transport/io_result.cpp
@@ -1,5 +1,6 @@
 #include "transport/io_result.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -14,6 +15,12 @@
   return errno == EAGAIN || errno == EINTR ? IoResult::would_block() : IoResult::broken();
 }
 
+bool is_stream_ended(int socket) {
+  pollfd events{socket, POLLIN | POLLRDHUP, 0};
+  if (::poll(&events, 1, 0) <= 0) return false;
+  return (events.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
+}
+
 IoResult send_to_socket(int socket, const char* bytes, std::size_t size) {
   for (;;) {
     const auto count = ::send(socket, bytes, size, MSG_NOSIGNAL);
--- a/src/transport/io_result.hpp
+++ b/src/transport/io_result.hpp
@@ -24,6 +24,9 @@
 
 // Calls recv(2) on a non-blocking socket, with `flags` as there.
 IoResult receive_from_socket(int socket, char* buffer, std::size_t size, int flags = 0);
+// Returns whether the peer of a connected socket has ended its stream or reset the connection, also if bytes
+// that it sent before are still unread.
+bool is_stream_ended(int socket);
 // Calls send(2) on a non-blocking socket. Does not raise SIGPIPE.
 IoResult send_to_socket(int socket, const char* bytes, std::size_t size);
 
--- a/tests/request_lifecycle_test.cpp
+++ b/tests/request_lifecycle_test.cpp
@@ -116,6 +116,29 @@
   EXPECT_TRUE(attempt.is_closed_by_peer());
 }
 
+// Guards against attempts for clients that have gone: the request and the close are in the socket together.
+TEST_F(RequestLifecycleTest, BeginsNoAttemptForAClientThatHasClosedItsConnection) {
+  start_router(all_endpoints());
+  run_on_loop([this] { connect_client().send(get()); });
+  EXPECT_EQ(take_attempt(200).fd, -1);
+}
+
+// Guards against retries for clients that have gone: the attempt and the client end in one round of events.
+TEST_F(RequestLifecycleTest, DoesNotRetryForAClientThatClosedTogetherWithTheAttempt) {
+  start_router(all_endpoints());
+  for (int i = 0; i < 10; ++i) {
+    Stream client = connect_client();
+    client.send(get());
+    Stream attempt = take_attempt();
+    ASSERT_FALSE(attempt.read_message().empty()) << i;
+    run_on_loop([&] {
+      attempt.reset();
+      client.close();
+    });
+    EXPECT_EQ(take_attempt(50).fd, -1) << i;
+  }
+}
+
 TEST_F(RequestLifecycleTest, SendsTheTimeLeftAtTheOpeningOfTheConnection) {
   limits_.connect_timeout = Duration::s(4);
   settings_.drain_grace = Duration::s(20);
