Name attempts by handles that are not valid after their end

Cause: EndpointPools::update() removes the connection of an unwritten attempt and posts the attempt's end; until that runs, the request still pointed to the connection, and a cancel in the same round (the client's close) removed it again, by a slot that was another connection's.

An attempt is now a slot and a serial number; cancel() and cancel_if_unsent() do nothing once it has ended. The same holds for attempts that a newer version's answer cancels and for hedged requests.

--- a/src/routing/endpoint_pools.cpp
+++ b/src/routing/endpoint_pools.cpp
@@ -38,7 +38,6 @@
   bool is_usable() const { return connection_.is_idle(); }
   bool has_unsolicited_bytes() const { return connection_.has_input(); }
   Instant idle_since() const { return idle_since_; }
-  Instant opened_at() const { return opened_at_; }
   void close_after_answer() { reusable_ = false; }
   std::size_t slot() const { return slot_; }
   void set_slot(std::size_t slot) { slot_ = slot; }
@@ -49,8 +48,8 @@
     connection_.close();
   }
 
-  // Returns false if the attempt has ended, because its request must not be sent any more.
-  bool send(RequestBuilder build_request, Instant deadline, EndCallback on_end) {
+  void send(AttemptHandle attempt, RequestBuilder build_request, Instant deadline, EndCallback on_end) {
+    attempt_ = attempt;
     on_end_ = std::move(on_end);
     deadline_ = deadline;
     answers_.start_next_message();
@@ -59,23 +58,23 @@
       const auto request = build_request(deadline);
       if (request) connection_.write(*request);
       else end_attempt_later(AttemptResult::kCancelledBeforeSent);
-      return request.has_value();
+      return;
     }
     build_request_ = std::move(build_request);
     timer_.schedule_at(std::min(deadline, pools_.loop_.now() + pools_.connect_timeout_));
-    return true;
   }
 
   // Ends the attempt. To be called from callbacks of the connection only.
   void end_attempt(AttemptResult result) {
-    const EndCallback on_end = take_end_callback();
-    on_end(result, nullptr);
+    const AttemptResponse response{result, nullptr, opened_at_};
+    take_end_callback()(response);
   }
 
   // Ends the attempt from within a call of the owner. The end callback is called after that call has
   // returned.
   void end_attempt_later(AttemptResult result) {
-    pools_.loop_.post([on_end = take_end_callback(), result] { on_end(result, nullptr); });
+    const AttemptResponse response{result, nullptr, opened_at_};
+    pools_.loop_.post([on_end = take_end_callback(), response] { on_end(response); });
   }
 
   // Returns `result`, unless the request has not been written completely: then the endpoint cannot have run
@@ -118,6 +117,7 @@
  private:
   EndCallback take_end_callback() {
     EndCallback on_end = std::exchange(on_end_, nullptr);
+    pools_.remove_attempt(attempt_);
     pools_.remove(this);
     return on_end;
   }
@@ -130,6 +130,7 @@
   void on_answer(bool keep_open) {
     const AttemptResult result = result_of(answers_);
     const EndCallback on_end = std::exchange(on_end_, nullptr);
+    pools_.remove_attempt(attempt_);
     keep_open = keep_open && is_written();
     idle_since_ = pools_.loop_.now();
     if (keep_open) {
@@ -137,7 +138,7 @@
     } else {
       timer_.cancel();
     }
-    on_end(result, &answers_);
+    on_end({result, &answers_, opened_at_});
     if (keep_open && reusable_) {
       pools_.pools_[endpoint_].idle.push_back(this);
     } else {
@@ -156,6 +157,7 @@
   Connection connection_;
   http::MessageParser answers_;
   Timer timer_;
+  AttemptHandle attempt_;         // valid while one is in flight
   EndCallback on_end_;            // empty if no attempt is in flight
   RequestBuilder build_request_;  // empty once the connection is open
   Instant deadline_;
@@ -169,8 +171,21 @@
 
 EndpointPools::~EndpointPools() = default;
 
-Instant EndpointPools::opened_at(const PooledConnection* connection) {
-  return connection ? connection->opened_at() : Instant::never();
+AttemptHandle EndpointPools::add_attempt(PooledConnection* connection) {
+  const std::uint32_t slot = attempts_.allocate();
+  attempts_[slot] = {connection, ++last_serial_number_};
+  return {slot, last_serial_number_};
+}
+
+void EndpointPools::remove_attempt(AttemptHandle attempt) {
+  attempts_[attempt.slot] = {};
+  attempts_.deallocate(attempt.slot);
+}
+
+EndpointPools::PooledConnection* EndpointPools::connection_of(AttemptHandle attempt) {
+  if (attempt.serial_number == 0) return nullptr;
+  const InFlightAttempt& in_flight = attempts_[attempt.slot];
+  return in_flight.serial_number == attempt.serial_number ? in_flight.connection : nullptr;
 }
 
 void EndpointPools::update(EndpointIndex endpoint, const EndpointPoolUpdate& update) {
@@ -237,8 +252,8 @@
   return connections_.back().get();
 }
 
-EndpointPools::PooledConnection* EndpointPools::send(EndpointIndex endpoint, RequestBuilder build_request,
-                                                     Instant deadline, EndCallback on_end) {
+AttemptHandle EndpointPools::send(EndpointIndex endpoint, RequestBuilder build_request, Instant deadline,
+                                  EndCallback on_end) {
   PooledConnection* connection = nullptr;
   if (endpoint < pools_.size()) {
     connection = take_idle(endpoint);
@@ -246,21 +261,23 @@
   }
   // The endpoint is unknown, or the limit of connections is reached and all are in use.
   if (!connection) {
-    loop_.post([on_end = std::move(on_end)] { on_end(AttemptResult::kLocalFailure, nullptr); });
-    return nullptr;
+    loop_.post([on_end = std::move(on_end)] { on_end({AttemptResult::kLocalFailure}); });
+    return {};
   }
-  const bool in_flight = connection->send(std::move(build_request), deadline, std::move(on_end));
-  return in_flight ? connection : nullptr;
+  const AttemptHandle attempt = add_attempt(connection);
+  connection->send(attempt, std::move(build_request), deadline, std::move(on_end));
+  return attempt;
 }
 
-void EndpointPools::cancel(PooledConnection* connection) {
-  connection->end_attempt_later(connection->effective_result(AttemptResult::kCancelled));
+void EndpointPools::cancel(AttemptHandle attempt) {
+  if (PooledConnection* const connection = connection_of(attempt))
+    connection->end_attempt_later(connection->effective_result(AttemptResult::kCancelled));
 }
 
-bool EndpointPools::cancel_if_unsent(PooledConnection* connection) {
-  if (connection->is_written()) return false;
-  connection->end_attempt_later(AttemptResult::kCancelledBeforeSent);
-  return true;
+void EndpointPools::cancel_if_unsent(AttemptHandle attempt) {
+  PooledConnection* const connection = connection_of(attempt);
+  if (connection && !connection->is_written())
+    connection->end_attempt_later(AttemptResult::kCancelledBeforeSent);
 }
 
 void EndpointPools::remove(PooledConnection* connection) {
--- a/src/routing/endpoint_pools.hpp
+++ b/src/routing/endpoint_pools.hpp
@@ -1,11 +1,12 @@
 // Connection pools, one for each endpoint. An attempt is written to an idle pooled connection or to a new
 // one. Each attempt ends exactly once, and is never sent again by this class.
 //
-// Call update() whenever the endpoint list names an endpoint, and send() for each attempt. cancel() may be
-// called at most once for an attempt, before it has ended. No callback is called while the owner is in a call
-// to this object. Endpoints are identified by their index; times are instants of the event loop. Errors are
-// reported as an AttemptResult.
+// Call update() whenever the endpoint list names an endpoint, and send() for each attempt. No callback is
+// called while the owner is in a call to this object, so an attempt may have ended before its EndCallback is
+// called: cancel() and cancel_if_unsent() do nothing then. Endpoints are identified by their index; times are
+// instants of the event loop. Errors are reported as an AttemptResult.
 #pragma once
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "base/limits.hpp"
+#include "base/slab.hpp"
 #include "policy/types.hpp"
 #include "protocol/http.hpp"
 #include "transport/event_loop.hpp"
@@ -26,12 +28,22 @@
   bool accepts_attempts = false;  // if false, attempts that have not been written completely end
 };
 
+// Names one attempt of EndpointPools, also after it has ended. The default value names none.
+struct AttemptHandle {
+  std::uint32_t slot = 0;
+  std::uint64_t serial_number = 0;  // 0: none
+};
+
+// What became of an attempt.
+struct AttemptResponse {
+  AttemptResult result = AttemptResult::kCancelled;
+  const http::MessageParser* answer = nullptr;  // null if there is none; valid during the callback only
+  Instant connected_at = Instant::never();      // when its connection was opened
+};
+
 class EndpointPools {
  public:
-  class PooledConnection;
-  // Called when the attempt has ended. `answer` is null if there is none, and otherwise valid during the call
-  // only.
-  using EndCallback = std::function<void(AttemptResult, const http::MessageParser* answer)>;
+  using EndCallback = std::function<void(const AttemptResponse&)>;
   // Returns the bytes of the request; none if it must not be sent any more, which ends the attempt as
   // cancelled before sent. Called once the attempt's connection is open; the attempt is given up at
   // `deadline`.
@@ -45,20 +57,22 @@
 
   // Closes idle connections that may not be used any more, and ends unwritten attempts that may not be sent.
   void update(EndpointIndex endpoint, const EndpointPoolUpdate& update);
-  // Starts an attempt. Returns its connection, for cancel(), which is valid until the attempt has ended; null
-  // if no connection could be made or the request must not be sent. `on_end` is called in each case.
-  PooledConnection* send(EndpointIndex endpoint, RequestBuilder build_request, Instant deadline,
-                         EndCallback on_end);
+  // Starts an attempt. `on_end` is called once, also if no connection could be made.
+  AttemptHandle send(EndpointIndex endpoint, RequestBuilder build_request, Instant deadline,
+                     EndCallback on_end);
   // Cancels the attempt. Its EndCallback is called after this function has returned.
-  void cancel(PooledConnection* connection);
+  void cancel(AttemptHandle attempt);
   // Cancels the attempt if its request has not been written completely, so that the endpoint cannot have run
-  // it. Returns false, and does nothing, if it has. After true, `connection` must not be used any more.
-  bool cancel_if_unsent(PooledConnection* connection);
-  // Returns when the connection was opened; far in the future if it has not been, or is null.
-  static Instant opened_at(const PooledConnection* connection);
+  // it.
+  void cancel_if_unsent(AttemptHandle attempt);
   Duration connect_timeout() const { return connect_timeout_; }
 
  private:
+  class PooledConnection;
+  struct InFlightAttempt {
+    PooledConnection* connection = nullptr;
+    std::uint64_t serial_number = 0;
+  };
   struct Pool {
     std::string address;
     // Ordered by the time of last use. The connection used last is taken first, so that the others reach
@@ -71,6 +85,10 @@
   PooledConnection* take_idle(EndpointIndex endpoint);
   PooledConnection* open_new(EndpointIndex endpoint);
   bool make_room();
+  AttemptHandle add_attempt(PooledConnection* connection);
+  void remove_attempt(AttemptHandle attempt);
+  // Returns null if the attempt has ended.
+  PooledConnection* connection_of(AttemptHandle attempt);
   void remove(PooledConnection* connection);
 
   EventLoop& loop_;
@@ -78,6 +96,8 @@
   Duration connect_timeout_;
   std::vector<Pool> pools_;  // by EndpointIndex
   std::vector<std::unique_ptr<PooledConnection>> connections_;
+  Slab<InFlightAttempt> attempts_;
+  std::uint64_t last_serial_number_ = 0;
 };
 
 }  // namespace ashbeam
--- a/src/routing/request_lifecycle.cpp
+++ b/src/routing/request_lifecycle.cpp
@@ -54,18 +54,18 @@
   const Instant deadline = request.accepted.deadline;
   const auto attempt = static_cast<unsigned>(request.attempts.size());
   log_attempt_begin(id, attempt, endpoint, deadline - now);
-  request.attempts.push_back({endpoint, now, nullptr});
+  request.attempts.push_back({endpoint, now, {}});
   ++request.attempts_in_flight;
   registry_.on_attempt_started(endpoint);
   const auto build_request = [this, id](Instant attempt_deadline) {
     return build_attempt_request(id, attempt_deadline);
   };
-  const auto on_end = [this, id, attempt](AttemptResult result, const http::MessageParser* answer) {
-    on_attempt_end(id, attempt, result, answer);
+  const auto on_end = [this, id, attempt](const AttemptResponse& response) {
+    on_attempt_end(id, attempt, response);
   };
   if (has_client_left(id))
-    return context_.loop.post([on_end] { on_end(AttemptResult::kCancelledBeforeSent, nullptr); });
-  request.attempts.back().connection = pools_.send(endpoint, build_request, deadline, on_end);
+    return context_.loop.post([on_end] { on_end({AttemptResult::kCancelledBeforeSent}); });
+  request.attempts.back().handle = pools_.send(endpoint, build_request, deadline, on_end);
 }
 
 // The time left is computed when the connection is open, which may be long after the routing policy has
@@ -110,49 +110,42 @@
 void RequestLifecycle::cancel_attempt(RequestId id, unsigned attempt) {
   Request& request = requests_[id];
   if (attempt >= request.attempts.size()) return;
-  if (auto* const connection = std::exchange(request.attempts[attempt].connection, nullptr))
-    pools_.cancel(connection);
+  pools_.cancel(request.attempts[attempt].handle);
 }
 
-void RequestLifecycle::on_attempt_end(RequestId id, unsigned attempt, AttemptResult result,
-                                      const http::MessageParser* answer) {
-  const Attempt ended = take_ended_attempt(id, attempt);
-  const EndpointIndex endpoint = ended.endpoint;
-  const Duration duration = context_.loop.now() - ended.sent_at;
-  if (result == AttemptResult::kLocalFailure) local_failures_.on_failure();
-  if (result == AttemptResult::kOk)
-    lease_.on_endpoint_answered(endpoint, ended.sent_at, EndpointPools::opened_at(ended.connection));
+void RequestLifecycle::on_attempt_end(RequestId id, unsigned attempt, const AttemptResponse& response) {
+  Request& request = requests_[id];
+  const EndpointIndex endpoint = request.attempts[attempt].endpoint;
+  const Instant sent_at = request.attempts[attempt].sent_at;
+  const Duration duration = context_.loop.now() - sent_at;
+  --request.attempts_in_flight;
+  registry_.on_attempt_ended(endpoint);
+  if (response.result == AttemptResult::kLocalFailure) local_failures_.on_failure();
+  if (response.result == AttemptResult::kOk)
+    lease_.on_endpoint_answered(endpoint, sent_at, response.connected_at);
   context_.detail_log.write_line(LogTopic::kRequests, context_.loop.now(),
                                  "request %u: attempt %u to endpoint %u ended: %s, after %.1f ms", id,
-                                 attempt, endpoint, name_of(result), duration.ms());
-  const CheckedAnswer checked = check_metadata(requests_[id], endpoint, result, answer);
+                                 attempt, endpoint, name_of(response.result), duration.ms());
+  const CheckedAnswer checked = check_metadata(request, endpoint, response);
   const bool ok = checked.result == AttemptResult::kOk;
-  const bool answered_client = ok && answer_client(id, checked.status, *answer);
-  const std::uint64_t sticky_key = requests_[id].accepted.sticky_key;
+  const bool answered_client = ok && answer_client(id, checked.status, *response.answer);
+  const std::uint64_t sticky_key = request.accepted.sticky_key;
   if (ok && sticky_key != 0)
     cancel_unsent_attempts_to_older_versions(sticky_key, registry_.version(endpoint));
   context_.policy.at_now().on_attempt_end({id, attempt, endpoint, checked.result, duration, answered_client});
   release_if_complete(id);
 }
 
-RequestLifecycle::Attempt RequestLifecycle::take_ended_attempt(RequestId id, unsigned attempt) {
-  Request& request = requests_[id];
-  const Attempt ended = request.attempts[attempt];
-  request.attempts[attempt].connection = nullptr;
-  --request.attempts_in_flight;
-  registry_.on_attempt_ended(ended.endpoint);
-  return ended;
-}
-
 RequestLifecycle::CheckedAnswer RequestLifecycle::check_metadata(Request& request, EndpointIndex endpoint,
-                                                                 AttemptResult result,
-                                                                 const http::MessageParser* answer) {
+                                                                 const AttemptResponse& response) {
   MetadataRequest* const metadata = request.accepted.metadata.get();
-  if (!metadata || !answer) return {result, kOkStatus};
-  if (metadata->is_end_of_root_chain(result, *answer)) return {AttemptResult::kOk, kNotFoundStatus};
-  if (result == AttemptResult::kOk && !metadata_.accepts(*metadata, *answer, registry_.address(endpoint)))
+  if (!metadata || !response.answer) return {response.result, kOkStatus};
+  if (metadata->is_end_of_root_chain(response.result, *response.answer))
+    return {AttemptResult::kOk, kNotFoundStatus};
+  const bool ok = response.result == AttemptResult::kOk;
+  if (ok && !metadata_.accepts(*metadata, *response.answer, registry_.address(endpoint)))
     return {AttemptResult::kError, kOkStatus};
-  return {result, kOkStatus};
+  return {response.result, kOkStatus};
 }
 
 bool RequestLifecycle::answer_client(RequestId id, unsigned status, const http::MessageParser& answer) {
@@ -172,11 +165,8 @@
   for (RequestId id = 0; id < requests_.slot_count(); ++id) {
     Request& request = requests_[id];
     if (!request.in_use || request.accepted.sticky_key != sticky_key) continue;
-    for (Attempt& attempt : request.attempts) {
-      const bool older = attempt.connection && registry_.version(attempt.endpoint) < version;
-      // The routing policy may also cancel the attempt before its end is reported. The null connection makes
-      // cancel_attempt() ignore that.
-      if (older && pools_.cancel_if_unsent(attempt.connection)) attempt.connection = nullptr;
+    for (const Attempt& attempt : request.attempts) {
+      if (registry_.version(attempt.endpoint) < version) pools_.cancel_if_unsent(attempt.handle);
     }
   }
 }
--- a/src/routing/request_lifecycle.hpp
+++ b/src/routing/request_lifecycle.hpp
@@ -66,7 +66,7 @@
   struct Attempt {
     EndpointIndex endpoint = 0;
     Instant sent_at;
-    EndpointPools::PooledConnection* connection = nullptr;  // null if not in flight
+    AttemptHandle handle;
   };
   struct Request {
     AcceptedRequest accepted;
@@ -84,17 +84,13 @@
 
   // Returns the bytes of an attempt. None if the client has left: nothing is begun for it any more.
   std::optional<std::string> build_attempt_request(RequestId id, Instant deadline);
-  void on_attempt_end(RequestId id, unsigned attempt, AttemptResult result,
-                      const http::MessageParser* answer);
+  void on_attempt_end(RequestId id, unsigned attempt, const AttemptResponse& response);
   // Returns whether the request has no client any more. If so, the request is ended after the current
   // callback.
   bool has_client_left(RequestId id);
   void release_if_client_left(RequestId id);
   void log_attempt_begin(RequestId id, unsigned attempt, EndpointIndex endpoint, Duration time_left);
-  // Marks the attempt as ended. Returns it as it was before, with its connection.
-  Attempt take_ended_attempt(RequestId id, unsigned attempt);
-  CheckedAnswer check_metadata(Request& request, EndpointIndex endpoint, AttemptResult result,
-                               const http::MessageParser* answer);
+  CheckedAnswer check_metadata(Request& request, EndpointIndex endpoint, const AttemptResponse& response);
   // Returns false if the client has been answered already, or has gone.
   bool answer_client(RequestId id, unsigned status, const http::MessageParser& answer);
   void cancel_unsent_attempts_to_older_versions(std::uint64_t sticky_key, double version);
--- a/tests/endpoint_pools_test.cpp
+++ b/tests/endpoint_pools_test.cpp
@@ -96,6 +96,33 @@
   EXPECT_EQ(status_of(client.read_message()), 200U);
 }
 
+// Guards against a second end of an attempt, which destroyed another attempt's connection: the endpoint
+// drains and the client leaves in one round of events.
+TEST(EndpointPools, CancelOfAnAttemptThatADrainHasEndedLeavesOtherAttemptsInFlight) {
+  EventLoop loop;
+  const Limits limits;
+  const FullListener full;
+  const FakeListener listener;
+  const std::string full_address = full.address(), address = listener.address();
+  EndpointPools pools(loop, limits, Duration::ms(250));
+  pools.update(0, {full_address, false, true});
+  pools.update(1, {address, false, true});
+  const auto build_request = [](Instant) { return std::string("request"); };
+  const Instant deadline = loop.now() + Duration::s(5);
+  int drained_ends = 0, other_ends = 0;
+  const auto drained = pools.send(0, build_request, deadline, [&](auto&&...) { ++drained_ends; });
+  pools.send(1, build_request, deadline, [&](auto&&...) { ++other_ends; });
+  pools.update(0, {full_address, false, false});
+  pools.cancel(drained);
+  Timer stop(loop, [&] { loop.stop(); });
+  stop.schedule_after(Duration::ms(100));
+  loop.run();
+  EXPECT_EQ(drained_ends, 1);
+  EXPECT_EQ(other_ends, 0);
+  Stream attempt = listener.accept();
+  EXPECT_TRUE(attempt.receive(500));
+}
+
 TEST_F(EndpointPoolsTest, DoesNotReadSurplusBytesAsTheNextAnswer) {
   limits_.endpoint_settle_time = Duration::ms(100);
   start_router(endpoint_list(endpoint_entry(0), 41, true));
