Make room among clients that repeat a refused request at once

Cause: after a 4xx answer a connection waits 0.1 s before it reads on, and in that time its next request made it look busy, so no such connection was ever closed for a new one.

If room is needed the delay ends early: the waiting request is answered and its connection closed. A connection whose client leaves its answer unread for 1 s may be closed too.

Before: the new test gets no answer.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -72,9 +72,11 @@
   // After a 4xx answer the next request of that connection is read only after this delay, which slows down a
   // client that repeats a bad request at once.
   Duration bad_request_delay = Duration::ms(100);
-  // These three hold while all client connections are in use and room is needed for a new one. A connection
+  // These four hold while all client connections are in use and room is needed for a new one. A connection
   // that has sent an incomplete request may be closed after this time.
   Duration partial_request_timeout = Duration::s(1);
+  // A connection whose client does not read its answer may be closed after this time.
+  Duration unread_answer_timeout = Duration::s(1);
   // A connection that is idle between requests may be closed after this time.
   Duration min_idle_before_close = Duration::ms(200);
   // A connection that has had no answer yet is not closed before this time.
--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -63,6 +63,14 @@
   answer_plain(status);
 }
 
+void ClientConnection::read_last_request() {
+  close_after_answer_ = true;
+  state_ = State::kReading;
+  state_since_ = owner_.loop_.now();
+  timer_.schedule_after(owner_.limits_.request_read_timeout);
+  on_data();
+}
+
 void ClientConnection::answer_plain(unsigned status, std::string_view fields) {
   const std::string body = std::string(http::reason_phrase(status)) + "\n";
   std::string all_fields(fields);
@@ -73,6 +81,7 @@
 void ClientConnection::answer(unsigned status, std::string_view fields, std::string_view body) {
   if (state_ != State::kAwaitingAnswer) return;
   state_ = State::kWritingAnswer;
+  state_since_ = owner_.loop_.now();
   answered_client_error_ = status >= 400 && status < 500;
   close_after_answer_ = close_after_answer_ || owner_.shutting_down_ || owner_.is_at_idle_limit();
   std::string bytes = "HTTP/1.1 " + std::to_string(status) + " ";
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -72,6 +72,8 @@
 
   void on_pipelined_data();
   void read_request();
+  // Reads the next request at once, and closes the connection after its answer.
+  void read_last_request();
   void on_answer_written();
   void on_timer();
   void wait_for_next_request();
@@ -80,6 +82,8 @@
   void close_idle();
   // Returns whether part of a request has been received.
   bool has_partial_request() const { return state_ == State::kReading && requests_.has_started(); }
+  // Returns whether the next request, or a part of it, has arrived during the delay after a 4xx answer.
+  bool is_delayed_with_input() const { return state_ == State::kDelayed && connection_.has_input(); }
   // Returns whether the connection has been reused: it had an answer and reads, or waits for, a later
   // request.
   bool is_kept_alive() const { return state_ == State::kReading && answered_once_; }
@@ -93,7 +97,8 @@
   bool answered_once_ = false;
   bool answered_client_error_ = false;  // the answer to the current request has a 4xx status
   bool closed_idle_ = false;            // close_idle() was called
-  // When the connection was opened, or last began to read a request, finished an answer or was closed.
+  // When the connection was opened, or last began to read a request, began or finished an answer or was
+  // closed.
   Instant state_since_;
   Connection connection_;
   http::MessageParser requests_;
--- a/src/routing/client_connections.cpp
+++ b/src/routing/client_connections.cpp
@@ -62,9 +62,12 @@
   using State = ClientConnection::State;
   const bool reading = connection.state_ == State::kReading;
   const bool lingering = connection.state_ == State::kLingering;
-  if (!lingering && !reading && connection.state_ != State::kDelayed) return false;
+  const bool writing = connection.state_ == State::kWritingAnswer;
+  if (!lingering && !reading && !writing && connection.state_ != State::kDelayed) return false;
   Duration min_age = limits_.new_connection_grace_period;
-  if (connection.is_kept_alive()) {
+  if (writing) {
+    min_age = limits_.unread_answer_timeout;
+  } else if (connection.is_kept_alive()) {
     min_age =
         connection.has_partial_request() ? limits_.partial_request_timeout : limits_.min_idle_before_close;
   }
@@ -82,8 +85,9 @@
     if (!may_be_evicted(*connection, now)) continue;
     const EvictionRank rank = eviction_rank(*connection);
     if (candidate && !rank.is_before(candidate_rank)) continue;
-    const bool lingering = connection->state_ == ClientConnection::State::kLingering;
-    if (!lingering && !connection->connection_.is_idle()) continue;
+    // A request that has arrived on an idle connection is about to be read.
+    if (connection->state_ == ClientConnection::State::kReading && !connection->connection_.is_idle())
+      continue;
     candidate = connection.get();
     candidate_rank = rank;
   }
@@ -94,6 +98,10 @@
   const Instant now = loop_.now();
   ClientConnection* const candidate = eviction_candidate(now);
   if (!candidate) return false;
+  if (candidate->is_delayed_with_input()) {
+    end_delays(now);
+    return false;
+  }
   if (candidate->is_between_requests()) {  // no other kind is left, because those rank before it
     for (const auto& connection : connections_) {
       const bool idle_long_enough = now - connection->state_since_ >= limits_.min_idle_before_close;
@@ -111,6 +119,13 @@
   return true;
 }
 
+void ClientConnections::end_delays(Instant now) {
+  for (std::size_t i = 0; i < connections_.size(); ++i) {
+    ClientConnection& connection = *connections_[i];
+    if (connection.is_delayed_with_input() && may_be_evicted(connection, now)) connection.read_last_request();
+  }
+}
+
 void ClientConnections::remove(ClientConnection* connection) {
   connection->timer_.cancel();
   if (connection->closed_idle_ && connection->connection_.has_discarded_input()) ++idle_closes_with_request_;
--- a/src/routing/client_connections.hpp
+++ b/src/routing/client_connections.hpp
@@ -85,9 +85,13 @@
   bool is_crowded() const { return connections_.size() * 2 >= limits_.max_client_connections; }
   // Closes one connection to make room, and returns whether it did. Among the connections that have been idle
   // long enough, one that never had an answer goes before one that has, and then the one that has been idle
-  // longest. A client that has sent part of a request is answered 503. If only connections between requests
-  // are left, their close is started, which a later call completes, and false is returned.
+  // longest. A client that has sent part of a request is answered 503. If a client has sent its next request
+  // during the delay after a 4xx answer, or only connections between requests are left, the close of all
+  // connections of that kind is started, which a later call completes, and false is returned.
   bool evict_one();
+  // Ends the delay after a 4xx answer on all connections that have waited long enough: the next request of
+  // each is answered, and the connection closed after it.
+  void end_delays(Instant now);
   ClientConnection* eviction_candidate(Instant now) const;
   bool may_be_evicted(const ClientConnection& connection, Instant now) const;
   static EvictionRank eviction_rank(const ClientConnection& connection);
--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -95,6 +95,23 @@
   EXPECT_LT(loop_.now() - sent_at, Duration::s(1));
 }
 
+// Guards against clients that repeat a refused request at once, and so held their connections for ever.
+TEST_F(ClientConnectionsTest, MakesRoomWhileClientsRepeatBadRequestsAtOnce) {
+  limits_.max_client_connections = 8;
+  limits_.bad_request_delay = Duration::s(30);
+  start_router(all_endpoints());
+  const std::string bad_request = "GET /nowhere HTTP/1.1\r\n\r\n";
+  std::vector<Stream> flood;
+  for (int i = 0; i < 12; ++i) {
+    flood.push_back(connect_client());
+    flood.back().send(bad_request + bad_request);
+  }
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(status_of(answer_to(kHealthCheck)), 200U) << i;
+  // The first ones were closed for the others, after the answer to their next request.
+  for (int i = 0; i < 2; ++i) EXPECT_EQ(status_of(flood.front().read_message()), 404U);
+  EXPECT_TRUE(flood.front().is_closed_by_peer());
+}
+
 // A connection that is closed between two requests may lose a request that crosses the close. So beyond the
 // limit of idle connections each answer announces the close of its connection.
 TEST_F(ClientConnectionsTest, AnnouncesCloseInAnswersBeyondTheIdleLimit) {
