Treat an answer as spoilt if bytes behind it are no other answer

Cause: bytes behind the end of an answer only kept the connection from being used again.

They now have to begin like an answer; otherwise the attempt ends as reset and may have run. Bytes still in the socket are looked at too.

Before: two new rows of RetriesDependingOnAttemptResultAndRequestClass fail.

--- a/src/routing/endpoint_pools.cpp
+++ b/src/routing/endpoint_pools.cpp
@@ -14,6 +14,14 @@
 constexpr unsigned kUnavailableStatus = 503;
 constexpr unsigned kTimeoutStatus = 504;
 
+// What every answer begins with (RFC 9112, section 4).
+constexpr std::string_view kAnswerBegin = "HTTP/1.";
+
+bool may_begin_answer(std::string_view bytes) {
+  const std::size_t length = std::min(bytes.size(), kAnswerBegin.size());
+  return bytes.substr(0, length) == kAnswerBegin.substr(0, length);
+}
+
 AttemptResult result_of(const http::MessageParser& answer) {
   const unsigned status = answer.status();
   if (status == kOkStatus) return AttemptResult::kOk;
@@ -102,8 +110,11 @@
     connection_.consume(unread - bytes.size());
     if (result == http::ParseResult::kIncomplete) return;
     if (result == http::ParseResult::kInvalid) return end_attempt(effective_result(AttemptResult::kReset));
-    if (!bytes.empty()) pools_.pools_[endpoint_].unsolicited_at = pools_.loop_.now();
-    on_answer(bytes.empty() && !answers_.closes_connection());
+    // Bytes behind the answer that cannot be another one may be the rest of its body, if its length is wrong.
+    const std::string surplus = connection_.peek_input(kAnswerBegin.size());
+    if (!surplus.empty()) pools_.pools_[endpoint_].unsolicited_at = pools_.loop_.now();
+    if (!may_begin_answer(surplus)) return end_attempt(effective_result(AttemptResult::kReset));
+    on_answer(surplus.empty() && !answers_.closes_connection());
   }
 
   void on_closed() override {
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -213,6 +213,14 @@
   return receive_from_socket(fd(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
 }
 
+std::string Connection::peek_input(std::size_t max_bytes) const {
+  if (!unread().empty() || tls_stream_ || state_ != State::kOpen)
+    return std::string(unread().substr(0, max_bytes));
+  std::string bytes(max_bytes, '\0');
+  bytes.resize(receive_from_socket(fd(), bytes.data(), max_bytes, MSG_PEEK | MSG_DONTWAIT).bytes);
+  return bytes;
+}
+
 bool Connection::is_idle() const {
   if (state_ != State::kOpen || !unread().empty() || has_buffered_tls_bytes()) return false;
   return peek().status == IoResult::Status::kWouldBlock;
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -75,6 +75,9 @@
   void discard_input();
   // Returns whether input has arrived since discard_input() and was discarded.
   bool has_discarded_input() const { return has_discarded_input_; }
+  // Returns the first bytes of the input that has arrived, at most `max_bytes`, and leaves them unread. Sees
+  // bytes that the event loop has not handled yet, unless the connection uses TLS.
+  std::string peek_input(std::size_t max_bytes) const;
   // Returns whether the connection is open and has no input, so that the peer has neither sent bytes nor
   // closed it. Checks the socket itself, and therefore also sees events that the event loop has not handled
   // yet.
--- a/tests/request_lifecycle_test.cpp
+++ b/tests/request_lifecycle_test.cpp
@@ -73,6 +73,9 @@
       {"connection reset", "reset", true},
       {"body cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true},
       {"not HTTP", "garbage\r\n\r\n", true},
+      {"body longer than its length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nbody", true},
+      {"chunked body with more behind it",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\nody", true},
       {"body too long", "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", true},
   };
   for (const Case& test_case : cases) {
