Keep the process within the memory limit of its settings

Callers lost their requests when a process passed limits.memory_mb and was killed: 400 clients that wrote slowly, stopped half way through a request or sent heads of thousands of short fields, and one client that sent requests under ever new tenant names. Cause: the limit was never read, and the limits of single messages did not add up to it.

make_limits derives a bound from memory_mb (32 at least) and sockets for each thing that clients or endpoints fill, all in Limits: incomplete requests, accepted ones, incomplete answers, unread answers, header fields, request ids (now hashes), sticky keys, connections, kernel receive buffers. One read buffer serves all connections, and idle ones keep no large buffer. The table of sticky keys had no bound once the newest version was released (by reading).

--- a/benches/router_under_load.cpp
+++ b/benches/router_under_load.cpp
@@ -76,7 +76,7 @@
       kConfiguration, InstanceSettings{"bench", "127.0.0.1:0", "", "", 7, "", ""});
   settings_ = read_router_settings(start.settings);
   wire_settings_ = read_wire_settings(start.settings);
-  limits_ = make_limits(1024, wire_settings_, settings_);
+  limits_ = make_limits({}, wire_settings_, settings_);
   add_fakes();
   thread_ = std::thread([this] { run_router(); });
   while (port_ == 0) std::this_thread::yield();
--- a/proofs/discovery_queue.cpp
+++ b/proofs/discovery_queue.cpp
@@ -110,7 +110,7 @@
   RouterSettings settings;
   settings.router_count = routers;
   settings.endpoint_poll_interval = Duration::s(10);
-  return make_limits(1024, WireSettings{}, settings).max_initial_poll_delay;
+  return make_limits({}, WireSettings{}, settings).max_initial_poll_delay;
 }
 
 void report(Proof& proof, const std::string& name, const Outcome& outcome, double max_late_share) {
--- a/proofs/router_thread.hpp
+++ b/proofs/router_thread.hpp
@@ -113,7 +113,7 @@
     full_instance.configured_release_state = instance.configured_release_state;
     const RouterSettings settings = read_router_settings(start.settings);
     const WireSettings wire_settings = read_wire_settings(start.settings);
-    const Limits limits = make_limits(1024, wire_settings, settings);
+    const Limits limits = make_limits({}, wire_settings, settings);
     Service service(loop, limits, settings, wire_settings, full_instance, print_log_line);
     const std::shared_ptr<void> attached = set_up({loop, service, wire_settings, settings});
     service.start();
--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -16,6 +16,8 @@
 
   // Maximum size of the head of an HTTP message: the start line and the header fields.
   std::size_t max_head_bytes = 16 * kKiB;
+  // Maximum number of header fields of a message. Each costs more memory than its bytes.
+  std::size_t max_header_fields = 128;
   // Maximum size of a decoded body. The framing of a chunked body may take the same size in addition.
   std::size_t max_body_bytes = 64 * kKiB;
   // Maximum length of a line that the release platform sends.
@@ -24,12 +26,26 @@
   std::size_t max_discovery_line_bytes = 4 * kMiB;
   std::size_t max_request_id_bytes = 128;
   // Maximum number of bytes that one read from a connection returns.
-  std::size_t read_chunk_bytes = 16 * kKiB;
+  std::size_t read_chunk_bytes = 64 * kKiB;
   // Maximum number of bytes that one read takes from a connection whose input is discarded.
   std::size_t discard_chunk_bytes = kMiB;
   // Reading from a connection stops while its owner has this many received bytes left to consume.
   std::size_t max_unread_bytes = 16 * kKiB;
 
+  // ---- Memory of all connections together, in bytes (make_limits derives it from the memory limit) ----
+
+  // Input of clients that is not a complete request yet. Beyond it the largest incomplete request is answered
+  // with 503.
+  std::size_t max_client_input_bytes = 4 * kMiB;
+  // Accepted requests, including the copy that is being written. Beyond it requests are answered with 503.
+  std::size_t max_accepted_request_bytes = 4 * kMiB;
+  // Incomplete answers of endpoints. Beyond it the attempt with the largest one ends.
+  std::size_t max_endpoint_answer_bytes = 4 * kMiB;
+  // Answers that clients have not read. Beyond it the connection that has waited longest is closed.
+  std::size_t max_unread_answer_bytes = 4 * kMiB;
+  // The receive buffer of a client connection in the kernel (SO_RCVBUF, see socket(7)).
+  int client_receive_buffer_bytes = 64 * 1024;
+
   // ---- Counts ----
 
   std::size_t max_client_connections = 448;
@@ -37,8 +53,11 @@
   std::size_t max_endpoint_connections = 448;
   // The backlog of listen(2).
   int accept_backlog = 1024;
-  // Maximum number of request ids that are stored to reject a second request with the same id.
+  // Maximum number of request ids that are stored to reject a second request with the same id (make_limits
+  // derives it from the memory limit).
   std::size_t max_remembered_request_ids = 16'384;
+  // Maximum number of sticky keys whose version is stored (make_limits derives it from the memory limit).
+  std::size_t max_sticky_keys = std::size_t{1} << 17U;
 
   // ---- Connections to endpoints ----
 
--- a/src/policy/router_settings.hpp
+++ b/src/policy/router_settings.hpp
@@ -2,6 +2,7 @@
 // limits of the routing rules. terms/ reads them from the deployment's settings and defines the names of the
 // keys.
 #pragma once
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -72,6 +73,8 @@
   bool exposure_per_class = false;
   // Whether a sticky key that a version has answered must never go to an earlier version.
   bool sticky_keys = false;
+  // How many sticky keys are remembered.
+  std::size_t max_sticky_keys = std::size_t{1} << 17U;
   // Whether the platform promotes releases by itself. If so, routers do not vote to promote.
   bool promoted_automatically = false;
   // Whether canary endpoints replace stable ones instead of running beside them.
--- a/src/program/demo.cpp
+++ b/src/program/demo.cpp
@@ -33,7 +33,6 @@
 
 constexpr unsigned kEndpointCount = 6;
 constexpr unsigned kClientCount = 16;
-constexpr std::size_t kMaxSockets = 1024;
 constexpr std::uint64_t kSeed = 7;
 
 constexpr unsigned kStableVersion = 1;
@@ -82,7 +81,7 @@
       : configuration_(configuration_for(options.port)),
         router_settings_(read_router_settings(configuration_.settings)),
         wire_settings_(read_wire_settings(configuration_.settings)),
-        limits_(make_limits(kMaxSockets, wire_settings_, router_settings_)), discovery_(loop_, limits_),
+        limits_(make_limits({}, wire_settings_, router_settings_)), discovery_(loop_, limits_),
         platform_(loop_, limits_, {std::begin(kExposureCaps), std::end(kExposureCaps)},
                   [this](const fakes::ReleasePlatform::State& state) { on_release_change(state); }),
         has_end_time_(options.seconds > 0), release_timer_(loop_, [this] { start_next_release(); }),
--- a/src/program/router_limits.cpp
+++ b/src/program/router_limits.cpp
@@ -9,6 +9,17 @@
 // Reserved for listeners, discovery, the release platform, the log and wakeups.
 constexpr std::size_t kReservedSockets = 32;
 
+// Parts of the memory limit. About a third of the smallest limit is used before the first connection.
+constexpr std::size_t kConnectionsMemoryDivisor = 8;  // for connections without their buffers
+constexpr std::size_t kBufferMemoryDivisor = 16;      // for each kind of buffers but the next
+constexpr std::size_t kAnswerMemoryDivisor = 8;       // for incomplete answers of endpoints
+constexpr std::size_t kRequestIdMemoryDivisor = 16;
+constexpr std::size_t kStickyKeyMemoryDivisor = 16;
+constexpr std::size_t kReceiveBufferMemoryDivisor = 512;
+constexpr std::size_t kBytesPerConnection = 4 * kKiB;
+constexpr std::size_t kBytesPerRequestId = 128;
+constexpr std::size_t kBytesPerStickyKey = 64;  // in a table that is at most half full
+
 // The router closes an idle connection to an endpoint before the endpoint does: after this fraction of the
 // endpoint's idle timeout.
 constexpr double kEndpointIdleFraction = 0.8;
@@ -35,15 +46,31 @@
   return full_delay * std::min(1.0, (router.router_count - 1) / kFullDelayRouterCount);
 }
 
+void set_memory_limits(Limits& limits, std::size_t max_memory_bytes) {
+  const std::size_t buffer_bytes = max_memory_bytes / kBufferMemoryDivisor;
+  limits.max_client_input_bytes = buffer_bytes;
+  limits.max_accepted_request_bytes = buffer_bytes;
+  limits.max_endpoint_answer_bytes = max_memory_bytes / kAnswerMemoryDivisor;
+  limits.max_unread_answer_bytes = buffer_bytes;
+  limits.client_receive_buffer_bytes =
+      static_cast<int>(std::min<std::size_t>(max_memory_bytes / kReceiveBufferMemoryDivisor, kMiB));
+  limits.max_remembered_request_ids = max_memory_bytes / kRequestIdMemoryDivisor / kBytesPerRequestId;
+  limits.max_sticky_keys =
+      std::min(limits.max_sticky_keys, max_memory_bytes / kStickyKeyMemoryDivisor / kBytesPerStickyKey);
+}
+
 }  // namespace
 
-Limits make_limits(std::size_t max_sockets, const WireSettings& wire, const RouterSettings& router) {
+Limits make_limits(const ProcessLimits& process, const WireSettings& wire, const RouterSettings& router) {
   Limits limits;
+  set_memory_limits(limits, process.max_memory_bytes);
   // A request in flight uses one client connection and one endpoint connection.
-  const std::size_t connections_per_kind = (max_sockets - kReservedSockets) / 2;
+  const std::size_t connections_per_kind =
+      std::min((process.max_sockets - kReservedSockets) / 2,
+               process.max_memory_bytes / kConnectionsMemoryDivisor / 2 / kBytesPerConnection);
   limits.max_client_connections = connections_per_kind;
   limits.max_endpoint_connections = connections_per_kind;
-  limits.max_idle_client_connections = max_sockets / 8;
+  limits.max_idle_client_connections = std::min(process.max_sockets / 8, connections_per_kind / 2);
   limits.connect_timeout = wire.connect_timeout;
   limits.endpoint_idle_timeout =
       std::min(limits.endpoint_idle_timeout, wire.endpoint_idle_timeout * kEndpointIdleFraction);
--- a/src/program/router_limits.hpp
+++ b/src/program/router_limits.hpp
@@ -1,4 +1,5 @@
-// Derives the router's limits and timeouts from the available sockets and the deployment's settings.
+// Derives the router's limits and timeouts from the memory and the sockets that the process may use, and from
+// the deployment's settings.
 #pragma once
 #include <cstddef>
 
@@ -8,8 +9,12 @@
 
 namespace ashbeam {
 
-// Returns the defaults of Limits with the values that the parameters determine. `max_sockets` is the number
-// of sockets that the process may have open; it must be at least 64.
-Limits make_limits(std::size_t max_sockets, const WireSettings& wire, const RouterSettings& router);
+struct ProcessLimits {
+  std::size_t max_sockets = 1024;             // that the process may have open; at least 64
+  std::size_t max_memory_bytes = 192 * kMiB;  // at least 32 MiB
+};
+
+// Returns the defaults of Limits with the values that the parameters determine.
+Limits make_limits(const ProcessLimits& process, const WireSettings& wire, const RouterSettings& router);
 
 }  // namespace ashbeam
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -71,12 +71,14 @@
   return read_startup_configuration([](const char* name) -> const char* { return std::getenv(name); });
 }
 
-// Returns the number of sockets that the process may use: the configured number, but no more than its limit
-// of file descriptors. That limit counts as kMinSockets if it is lower.
-std::size_t available_sockets(std::size_t configured) {
+// Returns the configured limits, with no more sockets than the process's limit of file descriptors. That
+// limit counts as kMinSockets if it is lower.
+ProcessLimits available_limits(ProcessLimits configured) {
   rlimit descriptors{};
   if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0) return configured;
-  return std::min<std::size_t>(configured, std::max<rlim_t>(descriptors.rlim_cur, kMinSockets));
+  configured.max_sockets =
+      std::min<std::size_t>(configured.max_sockets, std::max<rlim_t>(descriptors.rlim_cur, kMinSockets));
+  return configured;
 }
 
 // Reads the settings, and logs a warning for each value that was replaced.
@@ -94,7 +96,7 @@
       : configuration_(read_configuration()),
         router_settings_(read_settings_and_log_warnings(configuration_.settings)),
         wire_settings_(read_wire_settings(configuration_.settings)),
-        limits_(make_limits(available_sockets(configuration_.max_sockets), wire_settings_, router_settings_)),
+        limits_(make_limits(available_limits(configuration_.limits), wire_settings_, router_settings_)),
         service_(loop_, limits_, router_settings_, wire_settings_, configuration_.instance, log_line),
         signal_timer_(loop_, [this] { handle_signals(); }) {
     if (options.operator_file.empty()) return;
--- a/src/program/startup_configuration.cpp
+++ b/src/program/startup_configuration.cpp
@@ -18,6 +18,9 @@
 constexpr double kDefaultSockets = 1024;
 constexpr double kMinSockets = 64;
 constexpr double kMaxSockets = 1e6;
+constexpr double kDefaultMemoryMb = 192;
+constexpr double kMinMemoryMb = 32;
+constexpr double kMaxMemoryMb = 1e6;
 constexpr int kSeedBase = 16;
 
 // Returns a string without its quotes, and any other value as it stands in the JSON text.
@@ -115,7 +118,11 @@
   configuration.settings = flatten_settings(*settings);
   if (const auto limits = file->member("limits")) {
     const double sockets = limits->number("sockets", kDefaultSockets);
-    configuration.max_sockets = static_cast<std::size_t>(std::clamp(sockets, kMinSockets, kMaxSockets));
+    configuration.limits.max_sockets =
+        static_cast<std::size_t>(std::clamp(sockets, kMinSockets, kMaxSockets));
+    const double memory_mb =
+        std::clamp(limits->number("memory_mb", kDefaultMemoryMb), kMinMemoryMb, kMaxMemoryMb);
+    configuration.limits.max_memory_bytes = static_cast<std::size_t>(memory_mb) * kMiB;
   }
   return configuration;
 }
--- a/src/program/startup_configuration.hpp
+++ b/src/program/startup_configuration.hpp
@@ -5,6 +5,7 @@
 #include <stdexcept>
 #include <string_view>
 
+#include "program/router_limits.hpp"
 #include "protocol/json.hpp"
 #include "routing/service.hpp"
 #include "terms/settings_map.hpp"
@@ -19,8 +20,7 @@
 struct StartupConfiguration {
   InstanceSettings instance;
   SettingsMap settings;  // of the deployment
-  // Maximum number of sockets that the process may have open.
-  std::size_t max_sockets = 1024;
+  ProcessLimits limits;
 };
 
 // Reads the environment variables and the configuration file. `get_variable` returns the value of the
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -19,8 +19,9 @@
 class MessageParser {
  public:
   using MessageType = http::MessageType;
-  MessageParser(MessageType type, std::size_t max_head_bytes, std::size_t max_body_bytes)
-      : type_(type), head_(type, max_head_bytes), body_(max_body_bytes) {}
+  MessageParser(MessageType type, std::size_t max_head_bytes, std::size_t max_body_bytes,
+                std::size_t max_fields = Head::kDefaultMaxFields)
+      : type_(type), head_(type, max_head_bytes, max_fields), body_(max_body_bytes) {}
 
   // Consumes the bytes of the current message from the front of `bytes`. Never returns kTooLong: a head or
   // body over its limit is kInvalid, and error_status() says which limit was exceeded.
@@ -33,6 +34,8 @@
 
   // Whether any byte of the current message has been received.
   bool has_started() const { return in_body_ || !head_.empty(); }
+  // Returns how much memory the message uses.
+  std::size_t buffered_bytes() const { return head_.buffered_bytes() + raw_body_.capacity(); }
   // After `feed` has returned kInvalid: the status code with which a server answers such a request. 0 while
   // there is no error.
   unsigned error_status() const { return error_status_; }
--- a/src/protocol/http_head.cpp
+++ b/src/protocol/http_head.cpp
@@ -9,6 +9,7 @@
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kVersionPrefix = "HTTP/1.";
 constexpr std::size_t kMaxMethodBytes = 32;
+constexpr std::size_t kMaxIdleHeadBytes = 2048;
 
 }  // namespace
 
@@ -55,7 +56,10 @@
     split_lines();
     return ParseResult::kComplete;
   }
-  if (line_begin_ > 0 && !is_field_line(line)) return ParseResult::kInvalid;
+  if (line_begin_ > 0) {
+    if (!is_field_line(line)) return ParseResult::kInvalid;
+    if (++field_count_ > max_fields_) return ParseResult::kTooLong;
+  }
   line_begin_ = raw_.size();
   return ParseResult::kIncomplete;
 }
@@ -74,9 +78,12 @@
   return ParseResult::kIncomplete;
 }
 
+// Frees the memory of a large head: an idle connection must not keep it.
 void Head::clear() {
-  raw_.clear();
+  if (raw_.capacity() > kMaxIdleHeadBytes) std::string().swap(raw_);
+  else raw_.clear();
   fields_.clear();
+  field_count_ = 0;
   start_line_ = {};
   line_begin_ = 0;
 }
@@ -84,6 +91,7 @@
 void Head::split_lines() {
   split_start_line();
   std::string_view rest = std::string_view(raw_).substr(start_line_.size());
+  fields_.reserve(field_count_);
   while (rest.size() > kLineEnd.size()) {
     Field field;
     field.line = rest.substr(0, rest.find(kLineEnd) + kLineEnd.size());
--- a/src/protocol/http_head.hpp
+++ b/src/protocol/http_head.hpp
@@ -35,7 +35,9 @@
 // connection open does not hold it until a timeout.
 class Head {
  public:
-  Head(MessageType type, std::size_t max_bytes) : type_(type), max_bytes_(max_bytes) {}
+  static constexpr std::size_t kDefaultMaxFields = 128;
+  Head(MessageType type, std::size_t max_bytes, std::size_t max_fields = kDefaultMaxFields)
+      : type_(type), max_bytes_(max_bytes), max_fields_(max_fields) {}
 
   // Consumes the head's bytes from the front of `bytes`. After kTooLong or kInvalid, `bytes` is unspecified.
   ParseResult feed(std::string_view& bytes);
@@ -43,6 +45,8 @@
   void clear();
   // Whether no byte of the current head has been received.
   bool empty() const { return raw_.empty(); }
+  // Returns how much memory the head uses.
+  std::size_t buffered_bytes() const { return raw_.capacity() + fields_.capacity() * sizeof(Field); }
 
   // The accessors below may be called once the head is complete. All views point into the head and are valid
   // until it is cleared.
@@ -74,6 +78,8 @@
 
   MessageType type_;
   std::size_t max_bytes_;
+  std::size_t max_fields_;
+  std::size_t field_count_ = 0;  // complete field lines
   std::string raw_;
   std::size_t line_begin_ = 0;  // offset of the current line in raw_; 0 while that is the start line
   std::string_view start_line_;
--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -6,12 +6,20 @@
 
 namespace ashbeam {
 
+namespace {
+
+constexpr unsigned kUnavailableStatus = 503;
+
+}  // namespace
+
 ClientConnection::ClientConnection(ClientConnections& owner, int accepted_fd, std::unique_ptr<TlsStream> tls,
                                    std::size_t slot)
     : owner_(owner), slot_(slot), serial_number_(++owner.last_serial_number_),
-      state_since_(owner.loop_.now()),
+      state_since_(owner.loop_.now()), input_bytes_(owner.input_budget_),
+      unread_answer_bytes_(owner.unread_answer_budget_),
       connection_(owner.loop_, owner.limits_, *this, accepted_fd, std::move(tls)),
-      requests_(http::MessageType::kRequest, owner.limits_.max_head_bytes, owner.limits_.max_body_bytes),
+      requests_(http::MessageType::kRequest, owner.limits_.max_head_bytes, owner.limits_.max_body_bytes,
+                owner.limits_.max_header_fields),
       timer_(owner.loop_, [this] { on_timer(); }) {
   timer_.schedule_after(connection_.is_handshaking() ? owner_.handshake_timeout_()
                                                      : owner_.limits_.first_request_timeout);
@@ -23,8 +31,9 @@
 }
 
 void ClientConnection::on_data() {
-  if (state_ != State::kReading) return on_pipelined_data();
-  if (!connection_.unread().empty()) read_request();
+  if (state_ == State::kAwaitingAnswer) return on_pipelined_data();
+  if (state_ == State::kReading && !connection_.unread().empty()) read_request();
+  update_input_bytes();
 }
 
 // A pipelined request is read after the current one has been answered. If a client sends more than
@@ -32,12 +41,27 @@
 // answer: while bytes are left unread, the client's close would not be noticed, and its request would be
 // forwarded although nobody waits for the answer.
 void ClientConnection::on_pipelined_data() {
-  if (state_ != State::kAwaitingAnswer) return;
   if (connection_.unread().size() < owner_.limits_.max_unread_bytes) return;
   close_after_answer_ = true;
   connection_.discard_input();
 }
 
+void ClientConnection::update_input_bytes() {
+  const bool reading = state_ == State::kReading || state_ == State::kDelayed;
+  const bool has_input = reading && (requests_.has_started() || !connection_.unread().empty());
+  input_bytes_.resize(has_input ? connection_.unread().size() + requests_.buffered_bytes() : 0);
+  if (owner_.input_budget_.is_exceeded()) owner_.reduce_input();
+}
+
+void ClientConnection::refuse_input() {
+  state_ = State::kAwaitingAnswer;
+  close_after_answer_ = true;
+  connection_.discard_input();
+  requests_.start_next_message();
+  input_bytes_.resize(0);
+  answer_plain(kUnavailableStatus);
+}
+
 void ClientConnection::read_request() {
   std::string_view bytes = connection_.unread();
   const std::size_t unread = bytes.size();
@@ -56,7 +80,9 @@
   state_ = State::kAwaitingAnswer;
   if (result == http::ParseResult::kComplete) {
     close_after_answer_ = close_after_answer_ || requests_.closes_connection();
-    return owner_.callbacks_.on_request(*this, requests_);
+    owner_.callbacks_.on_request(*this, requests_);
+    // The accepted request holds a copy of what it needs.
+    return requests_.start_next_message();
   }
   close_after_answer_ = true;
   const unsigned status = requests_.error_status();
@@ -90,7 +116,9 @@
   bytes.append("\r\n").append(body);
   timer_.schedule_after(owner_.limits_.answer_write_timeout);
   connection_.write(bytes);
-  if (!connection_.may_have_unwritten_output()) on_answer_written();
+  if (!connection_.may_have_unwritten_output()) return on_answer_written();
+  unread_answer_bytes_.resize(connection_.unwritten_bytes());
+  owner_.reduce_unread_answers();
 }
 
 void ClientConnection::on_write_complete() {
@@ -100,6 +128,7 @@
 void ClientConnection::on_answer_written() {
   timer_.cancel();
   state_since_ = owner_.loop_.now();
+  unread_answer_bytes_.resize(0);
   if (close_after_answer_) return start_lingering_close();
   answered_once_ = true;
   requests_.start_next_message();
@@ -123,6 +152,8 @@
 // write side is shut down first, and input is discarded until the client closes or a timeout has passed.
 void ClientConnection::start_lingering_close() {
   state_ = State::kLingering;
+  requests_.start_next_message();
+  input_bytes_.resize(0);
   connection_.shutdown_write();
   timer_.schedule_after(owner_.limits_.lingering_close_timeout);
   connection_.discard_input();
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string_view>
 
+#include "base/byte_budget.hpp"
 #include "calling/authorizer.hpp"
 #include "policy/types.hpp"
 #include "protocol/http.hpp"
@@ -78,6 +79,11 @@
   void on_timer();
   void wait_for_next_request();
   void start_lingering_close();
+  void update_input_bytes();
+  // Returns whether input is held that belongs to no accepted request.
+  bool can_refuse_input() const { return input_bytes_.bytes() > 0; }
+  // Frees the input, and answers the incomplete request with 503.
+  void refuse_input();
   // Closes the connection while it is between two requests.
   void close_idle();
   // Returns whether part of a request has been received.
@@ -100,6 +106,8 @@
   // When the connection was opened, or last began to read a request, began or finished an answer or was
   // closed.
   Instant state_since_;
+  ByteReservation input_bytes_;
+  ByteReservation unread_answer_bytes_;
   Connection connection_;
   http::MessageParser requests_;
   Timer timer_;
--- a/src/routing/client_connections.cpp
+++ b/src/routing/client_connections.cpp
@@ -9,15 +9,19 @@
 ClientConnections::ClientConnections(EventLoop& loop, const Limits& limits, const std::string& address,
                                      Callbacks callbacks)
     : loop_(loop), limits_(limits), callbacks_(std::move(callbacks)),
+      input_budget_(limits.max_client_input_bytes), unread_answer_budget_(limits.max_unread_answer_bytes),
       make_room_timer_(loop, [this] { make_room(); }),
-      listener_(loop, address, limits.accept_backlog, [this](int fd) { on_accept(fd, false); }) {}
+      listener_(
+          loop, address, limits.accept_backlog, [this](int fd) { on_accept(fd, false); },
+          limits.client_receive_buffer_bytes) {}
 
 void ClientConnections::listen_with_tls(const std::string& address, TlsStreamFactory make_tls_stream,
                                         std::function<Duration()> handshake_timeout) {
   make_tls_stream_ = std::move(make_tls_stream);
   handshake_timeout_ = std::move(handshake_timeout);
-  tls_listener_ = std::make_unique<Listener>(loop_, address, limits_.accept_backlog,
-                                             [this](int fd) { on_accept(fd, true); });
+  tls_listener_ = std::make_unique<Listener>(
+      loop_, address, limits_.accept_backlog, [this](int fd) { on_accept(fd, true); },
+      limits_.client_receive_buffer_bytes);
 }
 
 void ClientConnections::pause_listeners(bool paused) {
@@ -126,10 +130,37 @@
   }
 }
 
+void ClientConnections::reduce_input() {
+  while (input_budget_.is_exceeded()) {
+    ClientConnection* largest = nullptr;
+    for (const auto& connection : connections_) {
+      if (!connection->can_refuse_input()) continue;
+      if (!largest || connection->input_bytes_.bytes() > largest->input_bytes_.bytes())
+        largest = connection.get();
+    }
+    if (!largest) return;
+    largest->refuse_input();
+  }
+}
+
+void ClientConnections::reduce_unread_answers() {
+  while (unread_answer_budget_.is_exceeded()) {
+    ClientConnection* oldest = nullptr;
+    for (const auto& connection : connections_) {
+      if (connection->unread_answer_bytes_.bytes() == 0) continue;
+      if (!oldest || connection->state_since_ < oldest->state_since_) oldest = connection.get();
+    }
+    if (!oldest) return;
+    remove(oldest);
+  }
+}
+
 void ClientConnections::remove(ClientConnection* connection) {
   connection->timer_.cancel();
   if (connection->closed_idle_ && connection->connection_.has_discarded_input()) ++idle_closes_with_request_;
   connection->connection_.close();
+  connection->input_bytes_.resize(0);
+  connection->unread_answer_bytes_.resize(0);
   const std::size_t slot = connection->slot_;
   std::swap(connections_[slot], connections_.back());
   connections_[slot]->slot_ = slot;
--- a/src/routing/client_connections.hpp
+++ b/src/routing/client_connections.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "base/byte_budget.hpp"
 #include "base/limits.hpp"
 #include "protocol/http.hpp"
 #include "routing/client_connection.hpp"
@@ -78,6 +79,12 @@
   void pause_accepting();
   void remove(ClientConnection* connection);
   void make_room();
+  // Frees memory until the input of all clients is within Limits::max_client_input_bytes: the largest
+  // incomplete requests are refused.
+  void reduce_input();
+  // Frees memory until the answers that clients have not read are within Limits::max_unread_answer_bytes: the
+  // connections that have waited longest are closed.
+  void reduce_unread_answers();
   // Returns whether as many connections as allowed are between requests. The next answer then closes its
   // connection, because no request can cross a close that is announced in the answer before it.
   bool is_at_idle_limit() const;
@@ -104,6 +111,8 @@
   std::size_t idle_closes_with_request_ = 0;
   Instant last_accepted_;
   std::uint64_t last_serial_number_ = 0;
+  ByteBudget input_budget_;
+  ByteBudget unread_answer_budget_;
   std::vector<std::unique_ptr<ClientConnection>> connections_;
   Timer make_room_timer_;
   Listener listener_;
--- a/src/routing/endpoint_pools.cpp
+++ b/src/routing/endpoint_pools.cpp
@@ -37,8 +37,9 @@
   PooledConnection(EndpointPools& pools, EndpointIndex endpoint, std::size_t slot)
       : pools_(pools), endpoint_(endpoint), slot_(slot),
         connection_(pools.loop_, pools.limits_, *this, pools.pools_[endpoint].address),
-        answers_(http::MessageType::kResponse, pools.limits_.max_head_bytes, pools.limits_.max_body_bytes),
-        timer_(pools.loop_, [this] { on_timer(); }) {}
+        answers_(http::MessageType::kResponse, pools.limits_.max_head_bytes, pools.limits_.max_body_bytes,
+                 pools.limits_.max_header_fields),
+        answer_bytes_(pools.answer_budget_), timer_(pools.loop_, [this] { on_timer(); }) {}
 
   EndpointIndex endpoint() const { return endpoint_; }
   bool is_in_flight() const { return on_end_ != nullptr; }
@@ -50,8 +51,11 @@
   std::size_t slot() const { return slot_; }
   void set_slot(std::size_t slot) { slot_ = slot; }
 
+  std::size_t answer_bytes() const { return answer_bytes_.bytes(); }
+
   // Closes the connection. No callback is called after this.
   void close() {
+    answer_bytes_.resize(0);
     timer_.cancel();
     connection_.close();
   }
@@ -108,7 +112,7 @@
     const std::size_t unread = bytes.size();
     const auto result = answers_.feed(bytes);
     connection_.consume(unread - bytes.size());
-    if (result == http::ParseResult::kIncomplete) return;
+    if (result == http::ParseResult::kIncomplete) return on_partial_answer();
     if (result == http::ParseResult::kInvalid) return end_attempt(effective_result(AttemptResult::kReset));
     // Bytes behind the answer that cannot be another one may be the rest of its body, if its length is wrong.
     const std::string surplus = connection_.peek_input(kAnswerBegin.size());
@@ -133,6 +137,11 @@
     return on_end;
   }
 
+  void on_partial_answer() {
+    answer_bytes_.resize(answers_.buffered_bytes());
+    pools_.reduce_answers();
+  }
+
   void on_unsolicited_data() {
     pools_.pools_[endpoint_].unsolicited_at = pools_.loop_.now();
     pools_.remove(this);
@@ -150,6 +159,8 @@
       timer_.cancel();
     }
     on_end({result, &answers_, opened_at_});
+    answers_.start_next_message();  // frees its memory
+    answer_bytes_.resize(0);
     if (keep_open && reusable_) {
       pools_.pools_[endpoint_].idle.push_back(this);
     } else {
@@ -167,6 +178,7 @@
   std::size_t slot_;
   Connection connection_;
   http::MessageParser answers_;
+  ByteReservation answer_bytes_;
   Timer timer_;
   AttemptHandle attempt_;         // valid while one is in flight
   EndCallback on_end_;            // empty if no attempt is in flight
@@ -178,10 +190,22 @@
 };
 
 EndpointPools::EndpointPools(EventLoop& loop, const Limits& limits, Duration connect_timeout)
-    : loop_(loop), limits_(limits), connect_timeout_(connect_timeout) {}
+    : loop_(loop), limits_(limits), connect_timeout_(connect_timeout),
+      answer_budget_(limits.max_endpoint_answer_bytes) {}
 
 EndpointPools::~EndpointPools() = default;
 
+void EndpointPools::reduce_answers() {
+  while (answer_budget_.is_exceeded()) {
+    PooledConnection* largest = nullptr;
+    for (const auto& connection : connections_) {
+      if (!largest || connection->answer_bytes() > largest->answer_bytes()) largest = connection.get();
+    }
+    if (!largest || !largest->is_in_flight()) return;
+    largest->end_attempt_later(AttemptResult::kReset);
+  }
+}
+
 AttemptHandle EndpointPools::add_attempt(PooledConnection* connection) {
   const std::uint32_t slot = attempts_.allocate();
   attempts_[slot] = {connection, ++last_serial_number_};
--- a/src/routing/endpoint_pools.hpp
+++ b/src/routing/endpoint_pools.hpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "base/byte_budget.hpp"
 #include "base/limits.hpp"
 #include "base/slab.hpp"
 #include "policy/types.hpp"
@@ -81,6 +82,9 @@
     Instant unsolicited_at;  // when the endpoint last sent bytes that belong to no answer
   };
 
+  // Frees memory until the incomplete answers are within Limits::max_endpoint_answer_bytes: the attempts with
+  // the largest ones end, as if their connections had been reset.
+  void reduce_answers();
   Duration settle_time(const Pool& pool) const;
   PooledConnection* take_idle(EndpointIndex endpoint);
   PooledConnection* open_new(EndpointIndex endpoint);
@@ -94,6 +98,7 @@
   EventLoop& loop_;
   const Limits& limits_;
   Duration connect_timeout_;
+  ByteBudget answer_budget_;
   std::vector<Pool> pools_;  // by EndpointIndex
   std::vector<std::unique_ptr<PooledConnection>> connections_;
   Slab<InFlightAttempt> attempts_;
--- a/src/routing/request_lifecycle.cpp
+++ b/src/routing/request_lifecycle.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::string_view kLineEnd = "\r\n";
 
+// The stored request, and the copy that is written to an endpoint.
+constexpr std::size_t kCopiesOfRequest = 2;
+
 constexpr unsigned kOkStatus = 200;
 constexpr unsigned kNotFoundStatus = 404;
 constexpr unsigned kBadGatewayStatus = 502;
@@ -28,18 +31,26 @@
 
 RequestLifecycle::RequestLifecycle(RouterContext& context, EndpointPools& pools, EndpointRegistry& registry,
                                    EndpointListLease& lease, RequestAuthorization& authorization,
-                                   MetadataCheck& metadata)
+                                   MetadataCheck& metadata, RecentRequestIds& recent_ids)
     : context_(context), pools_(pools), registry_(registry), lease_(lease), authorization_(authorization),
-      metadata_(metadata), local_failures_(context) {}
+      metadata_(metadata), recent_ids_(recent_ids), local_failures_(context),
+      budget_(context.limits.max_accepted_request_bytes) {}
 
 // ---- Acceptance ----
 
+bool RequestLifecycle::has_room_for(std::size_t request_bytes) const {
+  return budget_.has_room_for(kCopiesOfRequest * request_bytes);
+}
+
 RequestId RequestLifecycle::accept(ClientConnection& client, AcceptedRequest accepted) {
   const RequestId id = requests_.allocate();
   Request& request = requests_[id];
   ++request_count_;
   request.accepted = std::move(accepted);
   request.in_use = true;
+  request.reserved_bytes =
+      kCopiesOfRequest * (request.accepted.head.capacity() + request.accepted.body.capacity());
+  budget_.reserve(request.reserved_bytes);
   request.client = &client;
   client.request_id = id;
   client.set_answer_deadline(request.accepted.deadline + context_.limits.overdue_answer_delay);
@@ -72,6 +83,7 @@
 // decided on the attempt.
 std::optional<std::string> RequestLifecycle::build_attempt_request(RequestId id, Instant deadline) {
   if (has_client_left(id)) return std::nullopt;
+  requests_[id].may_have_run = true;
   const AcceptedRequest& request = requests_[id].accepted;
   const std::int64_t left_ms = std::max<std::int64_t>(0, (deadline - context_.loop.now()).us() / 1000);
   const std::string time_left = header::field_line(header::kTimeLeftMs, std::to_string(left_ms));
@@ -85,7 +97,7 @@
 // this event begins. So the socket itself is checked. The close is handled after the current callback,
 // because the routing policy may be in the middle of a decision.
 bool RequestLifecycle::has_client_left(RequestId id) {
-  const ClientConnection* const client = requests_[id].client;
+  ClientConnection* const client = requests_[id].client;
   if (client && !client->has_client_left()) return false;
   context_.loop.post([this, id] { release_if_client_left(id); });
   return true;
@@ -244,6 +256,7 @@
   if (!request.in_use || request.client || request.attempts_in_flight > 0) return;
   --request_count_;
   authorization_.release(request.accepted.admission);
+  budget_.release(request.reserved_bytes);
   request = Request{};
   requests_.deallocate(id);
 }
--- a/src/routing/request_lifecycle.hpp
+++ b/src/routing/request_lifecycle.hpp
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/byte_budget.hpp"
 #include "base/slab.hpp"
 #include "calling/authorizer.hpp"
 #include "routing/client_connection.hpp"
@@ -22,6 +23,7 @@
 #include "routing/endpoint_registry.hpp"
 #include "routing/local_failure_log.hpp"
 #include "routing/metadata_check.hpp"
+#include "routing/recent_request_ids.hpp"
 #include "routing/request_authorization.hpp"
 #include "routing/router_context.hpp"
 
@@ -33,6 +35,7 @@
   std::uint64_t sticky_key = 0;  // 0: none, or sticky keys are not enabled
   std::string head;              // start line and header lines, without the time left
   std::string body;
+  RecentRequestIds::Digest id;
   calling::QuotaHold admission;
   std::unique_ptr<MetadataRequest> metadata;  // null: not a request for a metadata file
 };
@@ -40,7 +43,11 @@
 class RequestLifecycle {
  public:
   RequestLifecycle(RouterContext& context, EndpointPools& pools, EndpointRegistry& registry,
-                   EndpointListLease& lease, RequestAuthorization& authorization, MetadataCheck& metadata);
+                   EndpointListLease& lease, RequestAuthorization& authorization, MetadataCheck& metadata,
+                   RecentRequestIds& recent_ids);
+
+  // Returns whether there is memory for a request whose head and body have this size.
+  bool has_room_for(std::size_t request_bytes) const;
 
   // Takes over the request and returns its id. `client` must stay valid until it has been answered or
   // on_client_closed() has been called.
@@ -74,6 +81,8 @@
     ClientConnection* client = nullptr;  // null once answered, or once the client has gone
     std::vector<Attempt> attempts;
     unsigned attempts_in_flight = 0;
+    bool may_have_run = false;       // an attempt has been passed to its connection
+    std::size_t reserved_bytes = 0;  // of `budget_`
   };
 
   // The result of an attempt after the check of metadata, and the status for the client.
@@ -108,7 +117,9 @@
   EndpointListLease& lease_;
   RequestAuthorization& authorization_;
   MetadataCheck& metadata_;
+  RecentRequestIds& recent_ids_;
   LocalFailureLog local_failures_;
+  ByteBudget budget_;
   Slab<Request> requests_;
   std::uint32_t request_count_ = 0;  // slots in use
 };
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -17,9 +17,11 @@
 constexpr unsigned kConflictStatus = 409;
 constexpr unsigned kUnavailableStatus = 503;
 
-// Reduces the time for which endpoints remember idempotency keys by the time that an attempt may wait for its
-// connection: a retry must reach its endpoint while the endpoint still remembers the key.
-RouterSettings with_reduced_key_retention(RouterSettings settings, Duration connect_timeout) {
+// Sets the number of sticky keys to the limit, and reduces the time for which endpoints remember idempotency
+// keys by the time that an attempt may wait for its connection: a retry must reach its endpoint while the
+// endpoint still remembers the key.
+RouterSettings with_limits(RouterSettings settings, const Limits& limits, Duration connect_timeout) {
+  settings.max_sticky_keys = limits.max_sticky_keys;
   for (RequestClass& request_class : settings.request_classes)
     request_class.key_retention = std::max(Duration(), request_class.key_retention - connect_timeout);
   return settings;
@@ -64,11 +66,11 @@
       releases_(context_, registry_, wire_settings.request_classes, instance.release_platform_address,
                 instance.seed),
       authorization_(context_), metadata_(context_),
-      requests_(context_, pools_, registry_, lease_, authorization_, metadata_),
-      shutdown_(context_, clients_, requests_), wakeups_(context_),
-      recent_ids_(limits.max_remembered_request_ids) {
-  context_.policy.attach(make_router_policy(with_reduced_key_retention(settings, pools_.connect_timeout()),
-                                            instance.seed, *this));
+      recent_ids_(limits.max_remembered_request_ids, instance.seed),
+      requests_(context_, pools_, registry_, lease_, authorization_, metadata_, recent_ids_),
+      shutdown_(context_, clients_, requests_), wakeups_(context_) {
+  context_.policy.attach(
+      make_router_policy(with_limits(settings, limits, pools_.connect_timeout()), instance.seed, *this));
 }
 
 Service::~Service() = default;
@@ -121,25 +123,25 @@
   const auto parsed = parse_request(request, request_classes_, context_.limits.max_request_id_bytes);
   if (const auto* const error = std::get_if<RequestError>(&parsed)) return answer_error(client, *error);
   const auto& parameters = std::get<RequestParameters>(parsed);
-  const Instant deadline = shutdown_.bound_deadline(now + parameters.time_left);
-
-  calling::QuotaHold admission;
-  if (!authorization_.admit(client, *identity, parameters.request_class, admission)) return;
-
-  if (!remember_request_id(head, now, deadline)) {
-    authorization_.release(admission);
-    return client.answer_plain(kConflictStatus);
-  }
+  if (answer_unacceptable(client, request)) return;
 
   RequestArrival arrival;
   arrival.request_class = parameters.request_class;
   arrival.tenant = tenant_index_of(head, *identity);
   arrival.sticky_key = sticky_key_of(head, sticky_keys_);
-  arrival.deadline = deadline;
+  arrival.deadline = shutdown_.bound_deadline(now + parameters.time_left);
+
+  calling::QuotaHold admission;
+  if (!authorization_.admit(client, *identity, parameters.request_class, admission)) return;
+  const RecentRequestIds::Digest id =
+      recent_ids_.digest_of(std::string(head.find(header::kTenant).value_or("")) + "\n" +
+                            std::string(*head.find(header::kRequestId)));
+  if (!remember_request_id(client, arrival, id, now)) return authorization_.release(admission);
 
   AcceptedRequest accepted = make_accepted_request(client, request, *identity);
-  accepted.deadline = deadline;
+  accepted.deadline = arrival.deadline;
   accepted.sticky_key = sticky_keys_ ? arrival.sticky_key : 0;
+  accepted.id = id;
   accepted.admission = admission;
   arrival.request = requests_.accept(client, std::move(accepted));
   log_accepted(arrival, head, now);
@@ -147,19 +149,34 @@
   context_.policy.at_now().on_request(arrival);
 }
 
+bool Service::answer_unacceptable(ClientConnection& client, const http::MessageParser& request) const {
+  if (requests_.has_room_for(request.buffered_bytes())) return false;
+  client.answer_plain(kUnavailableStatus);
+  return true;
+}
+
 void Service::answer_health_check(ClientConnection& client, const http::Head& head) const {
   if (head.method() != "GET") return client.answer_plain(kMethodNotAllowedStatus, "Allow: GET\r\n");
   const bool ready = readiness_.is_ready() && !shutdown_.has_begun();
   client.answer_plain(ready ? kOkStatus : kUnavailableStatus);
 }
 
-// No request is accepted with the id of another one of the same tenant that is in flight or was answered
-// recently. Ids of different tenants are independent of each other.
-bool Service::remember_request_id(const http::Head& head, Instant now, Instant deadline) {
-  request_id_.assign(head.find(header::kTenant).value_or(""))
-      .append(1, '\n')
-      .append(*head.find(header::kRequestId));
-  return recent_ids_.insert(request_id_, now, deadline + context_.limits.request_id_retention);
+// No request is accepted with the id of another one that is in flight or was answered recently. Ids of
+// different tenants are independent of each other.
+bool Service::remember_request_id(ClientConnection& client, const RequestArrival& arrival,
+                                  const RecentRequestIds::Digest& id, Instant now) {
+  const bool unsafe = request_classes_[arrival.request_class].idempotency == Idempotency::kUnsafe;
+  switch (recent_ids_.insert(id, unsafe, now, arrival.deadline + context_.limits.request_id_retention)) {
+    case RecentRequestIds::InsertResult::kPresent:
+      client.answer_plain(kConflictStatus);
+      return false;
+    case RecentRequestIds::InsertResult::kFull:
+      client.answer_plain(kUnavailableStatus);
+      return false;
+    case RecentRequestIds::InsertResult::kInserted:
+      break;
+  }
+  return true;
 }
 
 AcceptedRequest Service::make_accepted_request(const ClientConnection& client, http::MessageParser& request,
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -87,8 +87,12 @@
   // answers it. If none does, it is passed to the routing policy.
   void on_request(ClientConnection& client, http::MessageParser& request);
   void answer_health_check(ClientConnection& client, const http::Head& head) const;
-  // Stores the request's id. Returns false if the id is stored already.
-  bool remember_request_id(const http::Head& head, Instant now, Instant deadline);
+  // Answers a request that is not sound, or cannot be accepted now, and returns whether it did. Leaves a
+  // request unanswered whose client has gone.
+  bool answer_unacceptable(ClientConnection& client, const http::MessageParser& request) const;
+  // Stores the request's id. Answers the request, and returns false, if it must not be accepted with this id.
+  bool remember_request_id(ClientConnection& client, const RequestArrival& arrival,
+                           const RecentRequestIds::Digest& id, Instant now);
   AcceptedRequest make_accepted_request(const ClientConnection& client, http::MessageParser& request,
                                         const calling::Identity& identity) const;
   // Returns the index of the request's tenant in the settings, or one past the last if it names none of them.
@@ -111,11 +115,10 @@
   ReleaseSubscription releases_;
   RequestAuthorization authorization_;
   MetadataCheck metadata_;
+  RecentRequestIds recent_ids_;
   RequestLifecycle requests_;
   GracefulShutdown shutdown_;
   WakeupTimers wakeups_;
-  RecentRequestIds recent_ids_;
-  std::string request_id_;  // tenant and id of the current request; a member so that its memory is reused
 };
 
 }  // namespace ashbeam
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -24,6 +24,7 @@
 
 constexpr int kMaxConnectAttempts = 2;
 constexpr unsigned kMaxPort = 65535;
+constexpr std::size_t kMaxIdleBufferBytes = 1024;
 
 // A socket that takes ownership of an open descriptor. In POCO that constructor is accessible only to derived
 // classes.
@@ -152,10 +153,7 @@
 
 void Connection::consume(std::size_t bytes) {
   consumed_ += bytes;
-  if (consumed_ == input_.size()) {
-    input_.clear();
-    consumed_ = 0;
-  }
+  if (consumed_ == input_.size()) clear_input();
   if (state_ != State::kOpen || unread().size() >= limits_.max_unread_bytes) return;
   if (!watching_readable_) schedule_read_of_buffered_tls_bytes();
   watch(true, watching_writable_);
@@ -172,10 +170,9 @@
 void Connection::read() {
   input_.erase(0, consumed_);
   consumed_ = 0;
-  const std::size_t size_before = input_.size();
-  input_.resize(size_before + limits_.read_chunk_bytes);
-  const IoResult result = receive(input_.data() + size_before, limits_.read_chunk_bytes);
-  input_.resize(size_before + result.bytes);
+  char* const buffer = loop_.read_buffer(limits_.read_chunk_bytes);
+  const IoResult result = receive(buffer, limits_.read_chunk_bytes);
+  input_.append(buffer, result.bytes);
   if (result.status == IoResult::Status::kWouldBlock) return;
   broken_ = result.status != IoResult::Status::kEnded;
   if (result.status != IoResult::Status::kDone) return end();
@@ -236,8 +233,10 @@
   return is_stream_ended(fd());
 }
 
+// Frees the memory of a large buffer: an idle connection must not keep it.
 void Connection::clear_input() {
-  std::string().swap(input_);
+  if (input_.capacity() > kMaxIdleBufferBytes) std::string().swap(input_);
+  else input_.clear();
   consumed_ = 0;
 }
 
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -91,6 +91,8 @@
   // Returns whether the connection was never open or some of its output has not been written. Remains valid
   // after on_closed().
   bool may_have_unwritten_output() const { return !was_open_ || written_ < output_.size(); }
+  // Returns how many bytes of output have not been written to the socket.
+  std::size_t unwritten_bytes() const { return output_.size() - written_; }
   // Closes the sending direction, so that the peer reads the end of the stream. Input is still received.
   void shutdown_write();
 
--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -50,6 +50,13 @@
     post([owned = std::shared_ptr<T>(std::move(object))] {});
   }
 
+  // Returns memory of at least `bytes` bytes for one read, which all connections share. It is valid until the
+  // current callback has returned.
+  char* read_buffer(std::size_t bytes) {
+    if (read_buffer_.size() < bytes) read_buffer_.resize(bytes);
+    return read_buffer_.data();
+  }
+
   Poco::Net::SocketReactor& reactor() { return *this; }
 
  private:
@@ -80,6 +87,7 @@
   // functions.
   void update_poll_timeout();
 
+  std::vector<char> read_buffer_;
   std::int64_t unix_minus_steady_us_;  // the wall clock minus the steady clock, at construction
   std::map<TimerOrder, Timer*> timers_;
   std::uint64_t next_timer_sequence_number_ = 0;
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -34,9 +34,13 @@
 }  // namespace
 
 Listener::Listener(EventLoop& loop, const std::string& address, int backlog,
-                   std::function<void(int fd)> on_accept)
+                   std::function<void(int fd)> on_accept, int receive_buffer_bytes)
     : loop_(loop), on_accept_(std::move(on_accept)) {
   socket_.bind(Poco::Net::SocketAddress(address), true);
+  // Accepted sockets inherit the size. An error leaves the default size, which costs only memory.
+  if (receive_buffer_bytes > 0)
+    ::setsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                 sizeof receive_buffer_bytes);
   socket_.listen(backlog);
   socket_.setBlocking(false);
   set_paused(false);
--- a/src/transport/listener.hpp
+++ b/src/transport/listener.hpp
@@ -17,8 +17,11 @@
   // Binds `address` and starts to accept connections. `on_accept` takes ownership of the descriptor that it
   // is called with. A negative value means that accept4(2) failed because this machine lacks a resource, such
   // as descriptors; the callback must then pause the listener, which would otherwise be reported as readable
-  // without end. `backlog` is that of listen(2). Throws Poco::Exception if the address cannot be bound.
-  Listener(EventLoop& loop, const std::string& address, int backlog, std::function<void(int fd)> on_accept);
+  // without end. `backlog` is that of listen(2), and `receive_buffer_bytes` the SO_RCVBUF of
+  // each connection (socket(7)); 0 leaves the system's default. Throws Poco::Exception if the address cannot
+  // be bound.
+  Listener(EventLoop& loop, const std::string& address, int backlog, std::function<void(int fd)> on_accept,
+           int receive_buffer_bytes = 0);
   ~Listener() { close(); }
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
--- a/tests/endpoint_watch_test.cpp
+++ b/tests/endpoint_watch_test.cpp
@@ -135,7 +135,7 @@
 TEST_F(EndpointWatchTest, DelaysFirstCallByARandomTimeIfThereAreManyRouters) {
   for (const unsigned routers : {1U, 51U, 300U}) {
     settings_.router_count = routers;
-    const Limits limits = make_limits(1024, wire_settings_, settings_);
+    const Limits limits = make_limits({}, wire_settings_, settings_);
     EXPECT_EQ(limits.max_initial_poll_delay, routers == 1 ? Duration() : Duration::s(4));
     EXPECT_LT(limits.max_initial_poll_delay, limits.ready_without_list_timeout);
   }
--- a/tests/policy/sticky_keys_test.cpp
+++ b/tests/policy/sticky_keys_test.cpp
@@ -1,4 +1,6 @@
 // Tests that sticky keys stay with the version that answered them.
+#include "policy/sticky_keys.hpp"
+
 #include <algorithm>
 #include <array>
 
@@ -51,5 +53,25 @@
   EXPECT_EQ(router.actions.attempts.size(), 2u);
 }
 
+// Guards against ever new keys, whose table grew without end once the newest version was released.
+TEST(StickyKeys, KeysBeyondTheLimitAreNotStoredAndDoNotGoToOlderVersions) {
+  policy::ReleaseTracker release;
+  release.apply({2, 0, ReleasePhase::kReleased, 1.0, Duration()}, Instant());
+  policy::StickyKeys keys(true, 3);
+  policy::Request request;
+  for (std::uint64_t key = 1; key <= 3; ++key) {
+    request.sticky_key = key;
+    keys.bind(request, 2);
+  }
+  request.sticky_key = 4;
+  EXPECT_TRUE(keys.allows(request, 1, release));
+  keys.bind(request, 2);
+  EXPECT_FALSE(keys.allows(request, 1, release));
+  EXPECT_TRUE(keys.allows(request, 2, release));
+  EXPECT_FALSE(keys.allows(request, 3, release));
+  release.apply({2, 0, ReleasePhase::kWithdrawn, 0, Duration()}, Instant());
+  EXPECT_TRUE(keys.allows(request, 1, release));
+}
+
 }  // namespace
 }  // namespace ashbeam
--- a/tests/router_process.hpp
+++ b/tests/router_process.hpp
@@ -141,6 +141,16 @@
   Stream watch_{-1};
 };
 
+inline Stream connect_to(std::uint16_t port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_port = htons(port);
+  ::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
+  return Stream(fd);
+}
+
 // A client that sends one request after another, on the same connection while it lasts, and records each
 // answer's times and status. The status is 0 if no answer came.
 class SequentialClient {
@@ -157,7 +167,7 @@
 
  private:
   void send_next_request() {
-    if (stream_.fd < 0) stream_ = connect();
+    if (stream_.fd < 0) stream_ = connect_to(port_);
     const SteadyTime sent_at = steady_now();
     stream_.send(get(1500));
     const std::string answer = stream_.read_message(2500);
@@ -168,15 +178,6 @@
     }
     usleep(20000);
   }
-  Stream connect() const {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    at.sin_port = htons(port_);
-    ::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
-    return Stream(fd);
-  }
   std::uint16_t port_;
   Stream stream_{-1};
   mutable std::mutex mutex_;
@@ -216,6 +217,15 @@
   RouterProcess& operator=(const RouterProcess&) = delete;
   std::uint16_t port() const { return port_; }
   SteadyTime started() const { return started_; }
+  // Returns the largest resident memory of the process so far.
+  std::size_t peak_memory_bytes() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string word; status >> word;) {
+      std::size_t kib = 0;
+      if (word == "VmHWM:" && status >> kib) return kib * kKiB;
+    }
+    return 0;
+  }
 
  private:
   std::uint16_t port_;
