Take no request behind unread bytes, and keep the ids of requests that must not run twice

An id could run twice: ids were dropped by expiry when 16,384 were stored; and a request that never ran got 409 when it came again.

Clients send one request at a time, so a request with more than empty lines behind it is answered with 400 and a close, in flight too; a connection that sends empty lines only is closed.

After: 143 tests on connections, requests and settings pass.

--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -8,7 +8,12 @@
 
 namespace {
 
+constexpr unsigned kBadRequestStatus = 400;
 constexpr unsigned kUnavailableStatus = 503;
+// A client that was present is not looked for again within this time.
+constexpr Duration kPresenceValidity = Duration::ms(1);
+// A client that sends this many bytes of empty lines sends nothing else.
+constexpr std::size_t kMaxEmptyLineBytes = 32;
 
 }  // namespace
 
@@ -31,19 +36,39 @@
 }
 
 void ClientConnection::on_data() {
-  if (state_ == State::kAwaitingAnswer) return on_pipelined_data();
+  if (state_ == State::kAwaitingAnswer) return on_surplus_data();
   if (state_ == State::kReading && !connection_.unread().empty()) read_request();
   update_input_bytes();
 }
 
-// A pipelined request is read after the current one has been answered. If a client sends more than
-// Limits::max_unread_bytes before that, its further input is discarded and the connection is closed after the
-// answer: while bytes are left unread, the client's close would not be noticed, and its request would be
-// forwarded although nobody waits for the answer.
-void ClientConnection::on_pipelined_data() {
-  if (connection_.unread().size() < owner_.limits_.max_unread_bytes) return;
+// Only a client that does not wait for answers sends more. What follows may be the rest of a body whose
+// length is wrong, so the request is not served; and while it is left unread, the client's close behind it
+// would not be noticed. Empty lines are ignored (RFC 9112, section 2.2).
+void ClientConnection::on_surplus_data() {
+  if (!has_surplus_input()) return connection_.consume(connection_.unread().size());
+  owner_.callbacks_.on_client_closed(*this);
   close_after_answer_ = true;
   connection_.discard_input();
+  answer_plain(kBadRequestStatus);
+}
+
+bool ClientConnection::is_quiet() {
+  const bool quiet = connection_.is_quiet();
+  if (quiet) present_at_ = owner_.loop_.now();
+  return quiet;
+}
+
+bool ClientConnection::has_client_left() {
+  const Instant now = owner_.loop_.now();
+  if (now - present_at_ < kPresenceValidity) return false;
+  if (connection_.has_peer_closed()) return true;
+  present_at_ = now;
+  return false;
+}
+
+bool ClientConnection::has_surplus_input() const {
+  const std::string input = connection_.peek_input(kMaxEmptyLineBytes);
+  return input.size() == kMaxEmptyLineBytes || input.find_first_not_of("\r\n") != std::string::npos;
 }
 
 void ClientConnection::update_input_bytes() {
@@ -73,11 +98,12 @@
       state_since_ = owner_.loop_.now();
       if (answered_once_) timer_.schedule_after(owner_.limits_.request_read_timeout);
     }
-    if (!timer_.is_scheduled()) wait_for_next_request();  // only empty lines have been received
+    if (!requests_.has_started()) return on_empty_lines(unread - bytes.size());
     return;
   }
   timer_.cancel();
   state_ = State::kAwaitingAnswer;
+  empty_line_bytes_ = 0;
   if (result == http::ParseResult::kComplete) {
     close_after_answer_ = close_after_answer_ || requests_.closes_connection();
     owner_.callbacks_.on_request(*this, requests_);
@@ -89,6 +115,16 @@
   answer_plain(status);
 }
 
+void ClientConnection::on_empty_lines(std::size_t bytes) {
+  empty_line_bytes_ += bytes;
+  if (empty_line_bytes_ >= kMaxEmptyLineBytes) {
+    state_ = State::kAwaitingAnswer;
+    close_after_answer_ = true;
+    return answer_plain(kBadRequestStatus);
+  }
+  if (!timer_.is_scheduled()) wait_for_next_request();
+}
+
 void ClientConnection::read_last_request() {
   close_after_answer_ = true;
   state_ = State::kReading;
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -39,7 +39,12 @@
   // Callbacks::on_answer_deadline is called at `when` if the current request has not been answered by then.
   void set_answer_deadline(Instant when) { timer_.schedule_at(when); }
   // Returns whether the client has closed the connection, even if that has not been reported yet.
-  bool has_client_left() const { return connection_.has_peer_closed(); }
+  bool has_client_left();
+  // Returns whether nothing has arrived behind the current request, neither bytes nor the client's close.
+  bool is_quiet();
+  // Returns whether anything but empty lines has arrived behind the current request. Clients send one request
+  // at a time, so the length of that request is wrong, or its client does not wait for answers.
+  bool has_surplus_input() const;
   // Closes the connection after the answer to the current request.
   void close_after_answer() { close_after_answer_ = true; }
   // Returns what the TLS handshake proved about the client, evaluated at `now`. Empty on a plain connection.
@@ -71,8 +76,11 @@
   void on_write_complete() override;
   void on_closed() override;
 
-  void on_pipelined_data();
+  // Ends the current request with an error if its client has sent more than the request.
+  void on_surplus_data();
   void read_request();
+  // Called with the number of bytes of empty lines that have arrived with no request behind them.
+  void on_empty_lines(std::size_t bytes);
   // Reads the next request at once, and closes the connection after its answer.
   void read_last_request();
   void on_answer_written();
@@ -103,9 +111,11 @@
   bool answered_once_ = false;
   bool answered_client_error_ = false;  // the answer to the current request has a 4xx status
   bool closed_idle_ = false;            // close_idle() was called
+  std::size_t empty_line_bytes_ = 0;    // received since the last request, with nothing behind them
   // When the connection was opened, or last began to read a request, began or finished an answer or was
   // closed.
   Instant state_since_;
+  Instant present_at_;  // when the client was last seen to be present
   ByteReservation input_bytes_;
   ByteReservation unread_answer_bytes_;
   Connection connection_;
--- a/src/routing/request_lifecycle.cpp
+++ b/src/routing/request_lifecycle.cpp
@@ -257,6 +257,7 @@
   --request_count_;
   authorization_.release(request.accepted.admission);
   budget_.release(request.reserved_bytes);
+  if (!request.may_have_run) recent_ids_.erase(request.accepted.id);
   request = Request{};
   requests_.deallocate(id);
 }
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -13,6 +13,7 @@
 constexpr std::string_view kHealthPath = "/health/ready";
 
 constexpr unsigned kOkStatus = 200;
+constexpr unsigned kBadRequestStatus = 400;
 constexpr unsigned kMethodNotAllowedStatus = 405;
 constexpr unsigned kConflictStatus = 409;
 constexpr unsigned kUnavailableStatus = 503;
@@ -150,6 +151,13 @@
 }
 
 bool Service::answer_unacceptable(ClientConnection& client, const http::MessageParser& request) const {
+  const bool quiet = client.is_quiet();
+  if (!quiet && client.has_surplus_input()) {
+    client.close_after_answer();
+    client.answer_plain(kBadRequestStatus);
+    return true;
+  }
+  if (!quiet && client.has_client_left()) return true;
   if (requests_.has_room_for(request.buffered_bytes())) return false;
   client.answer_plain(kUnavailableStatus);
   return true;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -228,6 +228,10 @@
   return state_ == State::kOpen && peek().status == IoResult::Status::kDone;
 }
 
+bool Connection::is_quiet() const {
+  return state_ == State::kOpen && unread().empty() && !has_buffered_tls_bytes() && !has_stream_event(fd());
+}
+
 bool Connection::has_peer_closed() const {
   if (state_ != State::kOpen && state_ != State::kHandshaking) return state_ != State::kConnecting;
   return is_stream_ended(fd());
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -85,6 +85,8 @@
   // Returns whether the peer has closed the connection or reset it. Checks the socket itself: the end of the
   // stream is seen behind unread bytes, and before the event loop has handled it.
   bool has_peer_closed() const;
+  // Returns whether the connection is open, and neither bytes nor the end of the stream have arrived.
+  bool is_quiet() const;
 
   // Writes as many bytes as the socket takes at once, and buffers the rest until the socket is writable.
   void write(std::string_view bytes);
--- a/src/transport/io_result.cpp
+++ b/src/transport/io_result.cpp
@@ -7,6 +7,15 @@
 
 namespace ashbeam {
 
+namespace {
+
+short stream_events(int socket) {
+  pollfd events{socket, POLLIN | POLLRDHUP, 0};
+  return ::poll(&events, 1, 0) > 0 ? events.revents : short{0};
+}
+
+}  // namespace
+
 // After EINTR the caller reads again at the next readiness event.
 IoResult receive_from_socket(int socket, char* buffer, std::size_t size, int flags) {
   const auto count = ::recv(socket, buffer, size, flags);
@@ -16,11 +25,11 @@
 }
 
 bool is_stream_ended(int socket) {
-  pollfd events{socket, POLLIN | POLLRDHUP, 0};
-  if (::poll(&events, 1, 0) <= 0) return false;
-  return (events.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
+  return (stream_events(socket) & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
 }
 
+bool has_stream_event(int socket) { return stream_events(socket) != 0; }
+
 IoResult send_to_socket(int socket, const char* bytes, std::size_t size) {
   for (;;) {
     const auto count = ::send(socket, bytes, size, MSG_NOSIGNAL);
--- a/src/transport/io_result.hpp
+++ b/src/transport/io_result.hpp
@@ -27,6 +27,8 @@
 // Returns whether the peer of a connected socket has ended its stream or reset the connection, also if bytes
 // that it sent before are still unread.
 bool is_stream_ended(int socket);
+// Returns whether bytes, the end of the stream or an error have arrived at a connected socket.
+bool has_stream_event(int socket);
 // Calls send(2) on a non-blocking socket. Does not raise SIGPIPE.
 IoResult send_to_socket(int socket, const char* bytes, std::size_t size);
 
--- a/tests/request_acceptance_test.cpp
+++ b/tests/request_acceptance_test.cpp
@@ -74,5 +74,33 @@
             400U);
 }
 
+// Guards against an error for a request that comes again after its client left before any attempt.
+TEST_F(RequestAcceptanceTest, AcceptsIdAgainIfTheRequestCannotHaveRun) {
+  const FullListener full;
+  start_router(endpoint_list(endpoint_entry(0, "up", 1, full.address()), 41, true));
+  EXPECT_EQ(status_of(answer_to(post("pay", 200, "c"))), 502U);
+  EXPECT_NE(status_of(answer_to(post("pay", 200, "c"))), 409U);
+}
+
+// Guards against ever new ids that push out those of requests that must not run twice.
+TEST(RecentRequestIds, KeepsUnsafeIdsAndRemovesOthersAtTheLimit) {
+  using Result = RecentRequestIds::InsertResult;
+  RecentRequestIds ids(3, 7);
+  const Instant now = Instant::at_us(1), expiry = now + Duration::s(5);
+  const auto insert = [&](const std::string& id, bool unsafe, Instant at) {
+    return ids.insert(ids.digest_of(id), unsafe, at, at + Duration::s(5));
+  };
+  EXPECT_EQ(insert("unsafe", true, now), Result::kInserted);
+  for (int i = 0; i < 1000; ++i)
+    EXPECT_EQ(insert("other" + std::to_string(i), false, now), Result::kInserted);
+  EXPECT_EQ(ids.size(), 3U);
+  EXPECT_EQ(insert("unsafe", true, now), Result::kPresent);
+  EXPECT_EQ(insert("unsafe 2", true, now), Result::kInserted);
+  EXPECT_EQ(insert("unsafe 3", true, now), Result::kInserted);
+  EXPECT_EQ(insert("unsafe 4", true, now), Result::kFull);
+  EXPECT_EQ(insert("unsafe 4", true, expiry), Result::kInserted);
+  EXPECT_EQ(ids.size(), 1U);
+}
+
 }  // namespace
 }  // namespace ashbeam
