Tests: one way to connect to a port, and what each new test guards against

connect_to stood three times (router_fixture.hpp, router_process.hpp, tls_test.cpp); the fixture has the only one now. New tests and rows without a line on the failure that they guard against have one.

--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -186,6 +186,7 @@
   EXPECT_TRUE(attempt.is_closed_by_peer());
 }
 
+// Guards against connections that empty lines keep open for ever.
 TEST_F(ClientConnectionsTest, ClosesConnectionThatSendsOnlyEmptyLines) {
   start_router(all_endpoints());
   Stream client = connect_client();
--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -1,4 +1,4 @@
-// Tests of the limits that keep the router's memory within what its settings allow, whatever its clients and
+// Tests of the limits that keep the memory within what the settings allow, whatever clients and
 // endpoints send. Each of the first tests reaches one limit; the last ones run the program with the smallest
 // memory limit.
 #include "router_process.hpp"
--- a/tests/request_lifecycle_test.cpp
+++ b/tests/request_lifecycle_test.cpp
@@ -73,6 +73,7 @@
       {"connection reset", "reset", true},
       {"body cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true},
       {"not HTTP", "garbage\r\n\r\n", true},
+      // These two guard against an answer that is served cut, because its length is too short.
       {"body longer than its length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nbody", true},
       {"chunked body with more behind it",
        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\nody", true},
--- a/tests/router_fixture.hpp
+++ b/tests/router_fixture.hpp
@@ -82,6 +82,17 @@
   }
 };
 
+// Connects to a port on loopback.
+inline Stream connect_to(std::uint16_t port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(port);
+  ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+  return Stream(fd);
+}
+
 // A listening socket on a free loopback port, as a fake endpoint, discovery service or release platform.
 struct FakeListener {
   int fd = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -237,15 +248,7 @@
     return std::any_of(log_lines_.begin(), log_lines_.end(),
                        [&](const std::string& line) { return line.find(part) != std::string::npos; });
   }
-  Stream connect_client() const {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(service_->port());
-    ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    return Stream(fd);
-  }
+  Stream connect_client() const { return connect_to(service_->port()); }
   // Sends the request on a new connection and returns the answer.
   std::string answer_to(const std::string& request) const {
     Stream client = connect_client();
--- a/tests/router_process.hpp
+++ b/tests/router_process.hpp
@@ -141,16 +141,6 @@
   Stream watch_{-1};
 };
 
-inline Stream connect_to(std::uint16_t port) {
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  at.sin_port = htons(port);
-  ::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
-  return Stream(fd);
-}
-
 // A client that sends one request after another, on the same connection while it lasts, and records each
 // answer's times and status. The status is 0 if no answer came.
 class SequentialClient {
--- a/tests/tls_test.cpp
+++ b/tests/tls_test.cpp
@@ -186,15 +186,6 @@
   void destroy(ClientPtr& client) {
     run_on_loop(fakes_loop_, [&] { client.reset(); });
   }
-  static Stream connect_to(std::uint16_t port) {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(port);
-    ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    return Stream(fd);
-  }
   Stream open_connection() const { return connect_to(service_->tls_port()); }
 };
 
