Free the fields of a large head on idle connections; an unused function goes

A connection that once had a head of 128 fields kept 6 KB for it, which no limit counted: the list is freed beyond 32 fields. ByteBudget::used_bytes() had no caller.

--- a/src/base/byte_budget.hpp
+++ b/src/base/byte_budget.hpp
@@ -12,7 +12,6 @@
   ByteBudget(const ByteBudget&) = delete;
   ByteBudget& operator=(const ByteBudget&) = delete;
 
-  std::size_t used_bytes() const { return used_bytes_; }
   bool is_exceeded() const { return used_bytes_ > max_bytes_; }
   // Returns whether `bytes` more can be reserved without exceeding the budget.
   bool has_room_for(std::size_t bytes) const { return used_bytes_ + bytes <= max_bytes_; }
--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -44,7 +44,7 @@
   // Answers that clients have not read. Beyond it the connection that has waited longest is closed.
   std::size_t max_unread_answer_bytes = 4 * kMiB;
   // The receive buffer of a client connection in the kernel (SO_RCVBUF, see socket(7)).
-  int client_receive_buffer_bytes = 64 * 1024;
+  int client_receive_buffer_bytes = 64 * static_cast<int>(kKiB);
 
   // ---- Counts ----
 
--- a/src/policy/sticky_keys.hpp
+++ b/src/policy/sticky_keys.hpp
@@ -49,8 +49,8 @@
 
   bool enabled_;
   std::size_t max_keys_;
-  ReleaseVersion unstored_keys_version_ =
-      0;               // The newest version that has answered a key that is not stored.
+  // The newest version that has answered a key that is not stored.
+  ReleaseVersion unstored_keys_version_ = 0;
   IndexMap versions_;  // The newest version that has answered each key.
 };
 
--- a/src/protocol/http_head.cpp
+++ b/src/protocol/http_head.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view kVersionPrefix = "HTTP/1.";
 constexpr std::size_t kMaxMethodBytes = 32;
 constexpr std::size_t kMaxIdleHeadBytes = 2048;
+constexpr std::size_t kMaxIdleFields = 32;
 
 }  // namespace
 
@@ -82,7 +83,8 @@
 void Head::clear() {
   if (raw_.capacity() > kMaxIdleHeadBytes) std::string().swap(raw_);
   else raw_.clear();
-  fields_.clear();
+  if (fields_.capacity() > kMaxIdleFields) std::vector<Field>().swap(fields_);
+  else fields_.clear();
   field_count_ = 0;
   start_line_ = {};
   line_begin_ = 0;
