Look for a departed client again in each iteration of the event loop

A client that left up to 1 ms after a look at its socket was taken for present, and got a retry.

Cause: ClientConnection kept the result of the look for kPresenceValidity (1 ms), whatever had arrived since.

--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -10,8 +10,6 @@
 
 constexpr unsigned kBadRequestStatus = 400;
 constexpr unsigned kUnavailableStatus = 503;
-// A client that was present is not looked for again within this time.
-constexpr Duration kPresenceValidity = Duration::ms(1);
 // A client that sends this many bytes of empty lines sends nothing else.
 constexpr std::size_t kMaxEmptyLineBytes = 32;
 
@@ -54,15 +52,16 @@
 
 bool ClientConnection::is_quiet() {
   const bool quiet = connection_.is_quiet();
-  if (quiet) present_at_ = owner_.loop_.now();
+  if (quiet) present_in_iteration_ = owner_.loop_.iteration();
   return quiet;
 }
 
+// A client that was present is not looked for again within the same iteration, which spares system calls.
 bool ClientConnection::has_client_left() {
-  const Instant now = owner_.loop_.now();
-  if (now - present_at_ < kPresenceValidity) return false;
+  const std::uint64_t iteration = owner_.loop_.iteration();
+  if (present_in_iteration_ == iteration) return false;
   if (connection_.has_peer_closed()) return true;
-  present_at_ = now;
+  present_in_iteration_ = iteration;
   return false;
 }
 
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -115,7 +115,8 @@
   // When the connection was opened, or last began to read a request, began or finished an answer or was
   // closed.
   Instant state_since_;
-  Instant present_at_;  // when the client was last seen to be present
+  // The event loop's iteration in which the client was last seen to be present; 0: none.
+  std::uint64_t present_in_iteration_ = 0;
   ByteReservation input_bytes_;
   ByteReservation unread_answer_bytes_;
   Connection connection_;
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -139,6 +139,7 @@
 // ---- Iterations ----
 
 void EventLoop::run_due() {
+  ++iteration_;
   collect_posts_from_threads();
   run_posted();
   run_timers();
--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -36,6 +36,10 @@
   void run() override { Poco::Net::SocketReactor::run(); }
   void stop() { Poco::Net::SocketReactor::stop(); }
 
+  // Returns the number of the current iteration: events that arrive after its beginning are reported in a
+  // later one.
+  std::uint64_t iteration() const { return iteration_; }
+
   // Runs `function` after the current callback and before the next wait for events.
   void post(std::function<void()> function);
   // Creates the wakeup event that post_from_thread() needs. Must be called on the loop's thread, or before
@@ -88,6 +92,7 @@
   void update_poll_timeout();
 
   std::vector<char> read_buffer_;
+  std::uint64_t iteration_ = 0;
   std::int64_t unix_minus_steady_us_;  // the wall clock minus the steady clock, at construction
   std::map<TimerOrder, Timer*> timers_;
   std::uint64_t next_timer_sequence_number_ = 0;
