Bound the windows in which arrivals and attempts are counted

Cause: times of arrivals were removed only where they are counted, and the counter of all classes is read by the evaluation of a release and the exposure cap only. Now adding an event removes older ones, and a window keeps at most Limits::max_counted_events.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -59,6 +59,12 @@
   // Maximum number of sticky keys whose version is stored (make_limits derives it from the memory limit).
   std::size_t max_sticky_keys = std::size_t{1} << 17U;
 
+  // The part of it that the requests of one client connection may use whose effects must not happen twice.
+  // Beyond it that connection's further ones are answered with 503.
+  std::size_t max_remembered_request_ids_per_client = 2'048;
+  // Maximum number of arrivals, or of attempts to one endpoint, that a sliding window of the routing policy
+  // counts (make_limits derives it from the memory limit).
+  std::size_t max_counted_events = std::size_t{1} << 16U;
   // ---- Connections to endpoints ----
 
   // The deployment's settings replace this value.
--- a/src/policy/arrival_counter.hpp
+++ b/src/policy/arrival_counter.hpp
@@ -1,4 +1,6 @@
 // Counts the requests that have arrived in sliding time windows, for each request class and for all classes.
+// Only a limited number of arrivals is kept for each of these: beyond it the counts are too low, which makes
+// the limits that depend on them stricter.
 //
 // Each counting function removes the arrivals before `since` from its counters, so a later call with an
 // earlier `since` returns too few. count_class_since() and sum_class_counts_since() share their counters.
@@ -12,11 +14,13 @@
 
 class ArrivalCounter {
  public:
-  explicit ArrivalCounter(std::size_t class_count) : by_class_(class_count) {}
+  // No window is longer than `longest_window`, and none holds more than `max_arrivals`.
+  ArrivalCounter(std::size_t class_count, Duration longest_window, std::size_t max_arrivals)
+      : longest_window_(longest_window), max_arrivals_(max_arrivals), by_class_(class_count) {}
 
   void add(unsigned request_class, Instant now) {
-    by_class_[request_class].add(now);
-    all_.add(now);
+    by_class_[request_class].add_within(now - longest_window_, now, max_arrivals_);
+    all_.add_within(now - longest_window_, now, max_arrivals_);
   }
   // Returns the arrivals of all classes at or after `since`.
   std::size_t count_all_since(Instant since) { return all_.count_since(since); }
@@ -33,6 +37,8 @@
   }
 
  private:
+  Duration longest_window_;
+  std::size_t max_arrivals_;
   std::vector<SlidingWindowCounter> by_class_;
   SlidingWindowCounter all_;
 };
--- a/src/policy/request_router.cpp
+++ b/src/policy/request_router.cpp
@@ -36,8 +36,10 @@
 RequestRouter::RequestRouter(const RouterSettings& settings, std::uint64_t seed, RouterActions& actions)
     : settings_(settings), actions_(actions), log_(actions), random_(seed),
       endpoints_(settings_.request_classes.size(), settings_.machine_type_count),
-      arrivals_(settings_.request_classes.size()), latency_(settings_), slow_start_(settings_),
-      capacity_(settings_), exposure_(settings_, arrivals_),
+      arrivals_(settings_.request_classes.size(),
+                std::max(settings_.exposure_window, settings_.slow_start_window),
+                settings_.max_counted_events),
+      latency_(settings_), slow_start_(settings_), capacity_(settings_), exposure_(settings_, arrivals_),
       sticky_keys_(settings_.sticky_keys, settings_.max_sticky_keys),
       guards_(settings_, endpoints_, release_, exposure_, slow_start_, sticky_keys_),
       balancer_({settings_, endpoints_, release_, latency_, slow_start_, capacity_, sticky_keys_}, guards_,
@@ -162,7 +164,7 @@
   attempt.may_have_run = true;
   ++endpoint.attempts_in_flight;
   if (endpoint.unanswered_since <= endpoint.last_response_at) endpoint.unanswered_since = now_;
-  endpoint.slow_start.attempts.add(now_);
+  slow_start_.add_attempt(endpoint, now_);
   if (release_.is_capped(endpoint.version)) exposure_.add_canary_attempt(request.request_class, now_);
   actions_.send_attempt(request.id, selection.endpoint);
   request.schedule(NextStep::kRejectOrFail, request.deadline);
--- a/src/policy/router_settings.hpp
+++ b/src/policy/router_settings.hpp
@@ -73,6 +73,8 @@
   bool exposure_per_class = false;
   // Whether a sticky key that a version has answered must never go to an earlier version.
   bool sticky_keys = false;
+  // How many arrivals, or attempts to one endpoint, a sliding window counts.
+  std::size_t max_counted_events = std::size_t{1} << 16U;
   // How many sticky keys are remembered.
   std::size_t max_sticky_keys = std::size_t{1} << 17U;
   // Whether the platform promotes releases by itself. If so, routers do not vote to promote.
--- a/src/policy/slow_start.hpp
+++ b/src/policy/slow_start.hpp
@@ -80,6 +80,12 @@
                 : kUnlimited;
     return std::min(new_router_limit_, cold_limit);
   }
+  // Called when an attempt is sent. Beyond RouterSettings::max_counted_events in a window the counts are too
+  // low, which lowers the limits of endpoints in slow start.
+  void add_attempt(Endpoint& endpoint, Instant now) const {
+    endpoint.slow_start.attempts.add_within(now - settings_.slow_start_window, now,
+                                            settings_.max_counted_events);
+  }
   // Returns whether this router may send the endpoint another attempt now.
   bool allows(Endpoint& endpoint, Instant now) const {
     const double limit = attempt_limit(endpoint, now);
--- a/src/program/router_limits.cpp
+++ b/src/program/router_limits.cpp
@@ -13,11 +13,14 @@
 constexpr std::size_t kConnectionsMemoryDivisor = 8;  // for connections without their buffers
 constexpr std::size_t kBufferMemoryDivisor = 16;      // for each kind of buffers but the next
 constexpr std::size_t kAnswerMemoryDivisor = 8;       // for incomplete answers of endpoints
-constexpr std::size_t kRequestIdMemoryDivisor = 16;
+constexpr std::size_t kRequestIdMemoryDivisor = 8;
+constexpr std::size_t kRequestIdClientDivisor = 8;      // of the number of ids
+constexpr std::size_t kCountedEventMemoryDivisor = 16;  // for the windows of all request classes
 constexpr std::size_t kStickyKeyMemoryDivisor = 16;
 constexpr std::size_t kReceiveBufferMemoryDivisor = 512;
 constexpr std::size_t kBytesPerConnection = 4 * kKiB;
 constexpr std::size_t kBytesPerRequestId = 128;
+constexpr std::size_t kBytesPerCountedEvent = sizeof(Instant);
 constexpr std::size_t kBytesPerStickyKey = 64;  // in a table that is at most half full
 
 // The router closes an idle connection to an endpoint before the endpoint does: after this fraction of the
@@ -46,7 +49,7 @@
   return full_delay * std::min(1.0, (router.router_count - 1) / kFullDelayRouterCount);
 }
 
-void set_memory_limits(Limits& limits, std::size_t max_memory_bytes) {
+void set_memory_limits(Limits& limits, std::size_t max_memory_bytes, std::size_t request_class_count) {
   const std::size_t buffer_bytes = max_memory_bytes / kBufferMemoryDivisor;
   limits.max_client_input_bytes = buffer_bytes;
   limits.max_accepted_request_bytes = buffer_bytes;
@@ -55,6 +58,11 @@
   limits.client_receive_buffer_bytes =
       static_cast<int>(std::min<std::size_t>(max_memory_bytes / kReceiveBufferMemoryDivisor, kMiB));
   limits.max_remembered_request_ids = max_memory_bytes / kRequestIdMemoryDivisor / kBytesPerRequestId;
+  limits.max_remembered_request_ids_per_client = limits.max_remembered_request_ids / kRequestIdClientDivisor;
+  // One window for each class, and one for all of them.
+  limits.max_counted_events =
+      std::min(limits.max_counted_events, max_memory_bytes / kCountedEventMemoryDivisor /
+                                              kBytesPerCountedEvent / (request_class_count + 1));
   limits.max_sticky_keys =
       std::min(limits.max_sticky_keys, max_memory_bytes / kStickyKeyMemoryDivisor / kBytesPerStickyKey);
 }
@@ -63,7 +71,7 @@
 
 Limits make_limits(const ProcessLimits& process, const WireSettings& wire, const RouterSettings& router) {
   Limits limits;
-  set_memory_limits(limits, process.max_memory_bytes);
+  set_memory_limits(limits, process.max_memory_bytes, router.request_classes.size());
   // A request in flight uses one client connection and one endpoint connection.
   const std::size_t connections_per_kind =
       std::min((process.max_sockets - kReservedSockets) / 2,
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -18,11 +18,12 @@
 constexpr unsigned kConflictStatus = 409;
 constexpr unsigned kUnavailableStatus = 503;
 
-// Sets the number of sticky keys to the limit, and reduces the time for which endpoints remember idempotency
-// keys by the time that an attempt may wait for its connection: a retry must reach its endpoint while the
-// endpoint still remembers the key.
+// Sets the numbers of sticky keys and of counted events to the limits, and reduces the time for which
+// endpoints remember idempotency keys by the time that an attempt may wait for its connection: a retry must
+// reach its endpoint while the endpoint still remembers the key.
 RouterSettings with_limits(RouterSettings settings, const Limits& limits, Duration connect_timeout) {
   settings.max_sticky_keys = limits.max_sticky_keys;
+  settings.max_counted_events = limits.max_counted_events;
   for (RequestClass& request_class : settings.request_classes)
     request_class.key_retention = std::max(Duration(), request_class.key_retention - connect_timeout);
   return settings;
