Keep one client from refusing the requests of all others

Cause: ids of unsafe requests were kept until a time that the client chose, and one client could use all the room. Ids in flight are now always kept, and others for a fixed time after the end of the request; one connection has a share of the room, beyond which only its own requests are refused; ids of keyed requests are kept like those of unsafe ones, and requests that may run again need no room. A stated time left is cut to Limits::max_time_left. Small requests are accepted beside large ones that use up the budget, and an attempt that ends for the memory's sake counts as cancelled.

RecentRequestIds.KeepsUnsafeIdsAndRemovesOthersAtTheLimit became a test of the new interface, RecentRequestIdsTest.KeepsIdsOfRequestsThatMustNotRunTwiceAndRemovesOthersAtTheLimit, with all its checks and more.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -39,6 +39,9 @@
   std::size_t max_client_input_bytes = 4 * kMiB;
   // Accepted requests, including the copy that is being written. Beyond it requests are answered with 503.
   std::size_t max_accepted_request_bytes = 4 * kMiB;
+  // Requests of at most this size do not count against it: their number is limited by that of the
+  // connections, and large requests must not keep them out.
+  std::size_t max_small_request_bytes = 2 * kKiB;
   // Incomplete answers of endpoints. Beyond it the attempt with the largest one ends.
   std::size_t max_endpoint_answer_bytes = 4 * kMiB;
   // Answers that clients have not read. Beyond it the connection that has waited longest is closed.
@@ -53,18 +56,18 @@
   std::size_t max_endpoint_connections = 448;
   // The backlog of listen(2).
   int accept_backlog = 1024;
-  // Maximum number of request ids that are stored to reject a second request with the same id (make_limits
-  // derives it from the memory limit).
+  // Maximum number of ids of answered requests that are stored to reject a second request with the same id
+  // (make_limits derives it from the memory limit).
   std::size_t max_remembered_request_ids = 16'384;
-  // Maximum number of sticky keys whose version is stored (make_limits derives it from the memory limit).
-  std::size_t max_sticky_keys = std::size_t{1} << 17U;
-
   // The part of it that the requests of one client connection may use whose effects must not happen twice.
   // Beyond it that connection's further ones are answered with 503.
   std::size_t max_remembered_request_ids_per_client = 2'048;
   // Maximum number of arrivals, or of attempts to one endpoint, that a sliding window of the routing policy
   // counts (make_limits derives it from the memory limit).
   std::size_t max_counted_events = std::size_t{1} << 16U;
+  // Maximum number of sticky keys whose version is stored (make_limits derives it from the memory limit).
+  std::size_t max_sticky_keys = std::size_t{1} << 17U;
+
   // ---- Connections to endpoints ----
 
   // The deployment's settings replace this value.
@@ -108,8 +111,12 @@
   Duration new_connection_grace_period = Duration::ms(50);
   // Before a connection is closed, its input is read and discarded for at most this time.
   Duration lingering_close_timeout = Duration::s(1);
-  // The id of a request is stored until this time after its client timeout.
+  // The id of a request is stored for this time after the end of the request (make_limits adds the longest
+  // client timeout).
   Duration request_id_retention = Duration::s(5);
+  // Clients that name a longer time are answered within this one (make_limits raises it to the longest client
+  // timeout of the settings).
+  Duration max_time_left = Duration::s(10);
   // A request that the routing policy has not completed is failed by the router at this time after its client
   // timeout.
   Duration overdue_answer_delay = Duration::ms(20);
--- a/src/program/router_limits.cpp
+++ b/src/program/router_limits.cpp
@@ -90,6 +90,8 @@
     limits.shutdown_timeout = std::max(limits.shutdown_timeout, shutdown);
     longest_client_timeout = std::max(longest_client_timeout, client_timeout);
   }
+  limits.request_id_retention = limits.request_id_retention + longest_client_timeout;
+  limits.max_time_left = std::max(limits.max_time_left, longest_client_timeout);
   limits.max_initial_poll_delay = max_initial_poll_delay(router);
   limits.min_kill_delay = std::min(longest_client_timeout, kMaxKillWait) + kKillMargin;
   return limits;
--- a/src/routing/endpoint_pools.cpp
+++ b/src/routing/endpoint_pools.cpp
@@ -202,7 +202,7 @@
       if (!largest || connection->answer_bytes() > largest->answer_bytes()) largest = connection.get();
     }
     if (!largest || !largest->is_in_flight()) return;
-    largest->end_attempt_later(AttemptResult::kReset);
+    largest->end_attempt_later(AttemptResult::kCancelled);
   }
 }
 
--- a/src/routing/endpoint_pools.hpp
+++ b/src/routing/endpoint_pools.hpp
@@ -83,7 +83,7 @@
   };
 
   // Frees memory until the incomplete answers are within Limits::max_endpoint_answer_bytes: the attempts with
-  // the largest ones end, as if their connections had been reset.
+  // the largest ones are cancelled.
   void reduce_answers();
   Duration settle_time(const Pool& pool) const;
   PooledConnection* take_idle(EndpointIndex endpoint);
--- a/src/routing/request_lifecycle.cpp
+++ b/src/routing/request_lifecycle.cpp
@@ -39,7 +39,8 @@
 // ---- Acceptance ----
 
 bool RequestLifecycle::has_room_for(std::size_t request_bytes) const {
-  return budget_.has_room_for(kCopiesOfRequest * request_bytes);
+  return request_bytes <= context_.limits.max_small_request_bytes ||
+         budget_.has_room_for(kCopiesOfRequest * request_bytes);
 }
 
 RequestId RequestLifecycle::accept(ClientConnection& client, AcceptedRequest accepted) {
@@ -48,8 +49,8 @@
   ++request_count_;
   request.accepted = std::move(accepted);
   request.in_use = true;
-  request.reserved_bytes =
-      kCopiesOfRequest * (request.accepted.head.capacity() + request.accepted.body.capacity());
+  const std::size_t size = request.accepted.head.capacity() + request.accepted.body.capacity();
+  request.reserved_bytes = size > context_.limits.max_small_request_bytes ? kCopiesOfRequest * size : 0;
   budget_.reserve(request.reserved_bytes);
   request.client = &client;
   client.request_id = id;
@@ -257,7 +258,7 @@
   --request_count_;
   authorization_.release(request.accepted.admission);
   budget_.release(request.reserved_bytes);
-  if (!request.may_have_run) recent_ids_.erase(request.accepted.id);
+  recent_ids_.end(request.accepted.id, request.may_have_run, context_.loop.now());
   request = Request{};
   requests_.deallocate(id);
 }
--- a/src/routing/request_lifecycle.hpp
+++ b/src/routing/request_lifecycle.hpp
@@ -35,7 +35,7 @@
   std::uint64_t sticky_key = 0;  // 0: none, or sticky keys are not enabled
   std::string head;              // start line and header lines, without the time left
   std::string body;
-  RecentRequestIds::Digest id;
+  RecentRequestIds::Digest id = 0;
   calling::QuotaHold admission;
   std::unique_ptr<MetadataRequest> metadata;  // null: not a request for a metadata file
 };
--- a/src/routing/request_parser.cpp
+++ b/src/routing/request_parser.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr double kMaxTimeLeftMs = 3.6e6;
 constexpr double kMaxNumericKey = 1.8e19;  // below 2^64
 
 // Fields that routing decisions depend on. A request that has one of them twice is rejected, because an
@@ -61,7 +60,7 @@
 
 std::variant<RequestParameters, RequestError> parse_request(const http::MessageParser& request,
                                                             const std::vector<RequestClassRule>& rules,
-                                                            std::size_t max_request_id_bytes) {
+                                                            const Limits& limits) {
   const http::Head& head = request.head();
   const std::string_view path = path_of(head).substr(1);
   const std::string_view class_name = path.substr(0, path.find('/'));
@@ -71,14 +70,16 @@
   const bool idempotent = rule->idempotency == Idempotency::kIdempotent;
   const std::string_view method = idempotent ? "GET" : "POST";
   if (head.method() != method) return RequestError{405, method};
-  if (!has_required_fields(head, rule->idempotency, max_request_id_bytes)) return RequestError{400, {}};
+  if (!has_required_fields(head, rule->idempotency, limits.max_request_id_bytes))
+    return RequestError{400, {}};
   const auto time_left_ms = http::parse_decimal(*head.find(header::kTimeLeftMs));
   if (!time_left_ms) return RequestError{400, {}};
   // An endpoint might read the body of a GET request as the next request.
   if (idempotent && !request.raw_body().empty()) return RequestError{400, {}};
   RequestParameters parameters;
   parameters.request_class = static_cast<unsigned>(rule - rules.begin());
-  parameters.time_left = Duration::ms(std::min(static_cast<double>(*time_left_ms), kMaxTimeLeftMs));
+  parameters.time_left =
+      Duration::ms(std::min(static_cast<double>(*time_left_ms), limits.max_time_left.ms()));
   return parameters;
 }
 
--- a/src/routing/request_parser.hpp
+++ b/src/routing/request_parser.hpp
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/limits.hpp"
 #include "base/time.hpp"
 #include "policy/types.hpp"
 #include "protocol/http.hpp"
@@ -37,10 +38,10 @@
 std::string_view path_of(const http::Head& head);
 
 // Checks a complete request. The path selects its class in `rules`, and the class decides which method and
-// fields it must have.
+// fields it must have. The time left is at most Limits::max_time_left.
 std::variant<RequestParameters, RequestError> parse_request(const http::MessageParser& request,
                                                             const std::vector<RequestClassRule>& rules,
-                                                            std::size_t max_request_id_bytes);
+                                                            const Limits& limits);
 
 // Returns the sticky key of a request, or 0 if it has none. A session key is any text, which is hashed; it is
 // ignored unless `sticky_sessions` is set.
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -68,7 +68,8 @@
       releases_(context_, registry_, wire_settings.request_classes, instance.release_platform_address,
                 instance.seed),
       authorization_(context_), metadata_(context_),
-      recent_ids_(limits.max_remembered_request_ids, instance.seed),
+      recent_ids_(limits.max_remembered_request_ids, limits.max_remembered_request_ids_per_client,
+                  limits.request_id_retention, instance.seed),
       requests_(context_, pools_, registry_, lease_, authorization_, metadata_, recent_ids_),
       shutdown_(context_, clients_, requests_), wakeups_(context_) {
   context_.policy.attach(
@@ -122,7 +123,7 @@
   const calling::Identity* const identity = authorization_.identify(client, head, now);
   if (!identity) return;
 
-  const auto parsed = parse_request(request, request_classes_, context_.limits.max_request_id_bytes);
+  const auto parsed = parse_request(request, request_classes_, context_.limits);
   if (const auto* const error = std::get_if<RequestError>(&parsed)) return answer_error(client, *error);
   const auto& parameters = std::get<RequestParameters>(parsed);
   if (answer_unacceptable(client, request)) return;
@@ -136,7 +137,7 @@
   calling::QuotaHold admission;
   if (!authorization_.admit(client, *identity, parameters.request_class, admission)) return;
   const RecentRequestIds::Digest id = recent_ids_.digest_of(*head.find(header::kRequestId));
-  if (!remember_request_id(client, arrival, id, now)) return authorization_.release(admission);
+  if (!remember_request_id(client, arrival.request_class, id, now)) return authorization_.release(admission);
 
   AcceptedRequest accepted = make_accepted_request(client, request, *identity);
   accepted.deadline = arrival.deadline;
@@ -170,17 +171,18 @@
 
 // No request is accepted with the id of another one that is in flight or was answered recently, whatever its
 // tenant: endpoints know a request by its id.
-bool Service::remember_request_id(ClientConnection& client, const RequestArrival& arrival,
-                                  const RecentRequestIds::Digest& id, Instant now) {
-  const bool unsafe = request_classes_[arrival.request_class].idempotency == Idempotency::kUnsafe;
-  switch (recent_ids_.insert(id, unsafe, now, arrival.deadline + context_.limits.request_id_retention)) {
-    case RecentRequestIds::InsertResult::kPresent:
+bool Service::remember_request_id(ClientConnection& client, unsigned request_class,
+                                  RecentRequestIds::Digest id, Instant now) {
+  const Idempotency idempotency = request_classes_[request_class].idempotency;
+  const bool may_run_again = idempotency == Idempotency::kIdempotent;
+  switch (recent_ids_.begin(id, {client.serial_number(), may_run_again}, now)) {
+    case RecentRequestIds::BeginResult::kPresent:
       client.answer_plain(kConflictStatus);
       return false;
-    case RecentRequestIds::InsertResult::kFull:
+    case RecentRequestIds::BeginResult::kFull:
       client.answer_plain(kUnavailableStatus);
       return false;
-    case RecentRequestIds::InsertResult::kInserted:
+    case RecentRequestIds::BeginResult::kStored:
       break;
   }
   return true;
--- a/src/routing/service.hpp
+++ b/src/routing/service.hpp
@@ -91,8 +91,8 @@
   // request unanswered whose client has gone.
   bool answer_unacceptable(ClientConnection& client, const http::MessageParser& request) const;
   // Stores the request's id. Answers the request, and returns false, if it must not be accepted with this id.
-  bool remember_request_id(ClientConnection& client, const RequestArrival& arrival,
-                           const RecentRequestIds::Digest& id, Instant now);
+  bool remember_request_id(ClientConnection& client, unsigned request_class, RecentRequestIds::Digest id,
+                           Instant now);
   AcceptedRequest make_accepted_request(const ClientConnection& client, http::MessageParser& request,
                                         const calling::Identity& identity) const;
   // Returns the index of the request's tenant in the settings, or one past the last if it names none of them.
--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -61,6 +61,22 @@
   EXPECT_TRUE(refused >= 3 && refused < 6) << refused;
 }
 
+// Guards against large requests that keep out the small ones of other clients.
+TEST_F(MemoryLimitsTest, AcceptsSmallRequestsWhileLargeOnesUseTheLimit) {
+  limits_.max_accepted_request_bytes = 6 * kBodyBytes;
+  start_router(all_endpoints());
+  std::vector<Stream> clients = send_on_connections(4, large_post(kBodyBytes));
+  usleep(100000);
+  Stream client = connect_client();
+  client.send(get());
+  bool served = false;
+  for (Stream attempt = take_attempt(); attempt.fd >= 0 && !served; attempt = take_attempt(100)) {
+    served = attempt.read_message().starts_with("GET ");
+    if (served) attempt.send(kOkAnswer);
+  }
+  EXPECT_EQ(status_of(client.read_message()), 200U);
+}
+
 TEST_F(MemoryLimitsTest, EndsAttemptsWithTheLargestIncompleteAnswersBeyondTheLimit) {
   limits_.max_endpoint_answer_bytes = 2 * kBodyBytes;
   start_router(all_endpoints());
--- a/tests/request_acceptance_test.cpp
+++ b/tests/request_acceptance_test.cpp
@@ -92,24 +92,99 @@
   EXPECT_NE(status_of(answer_to(post("pay", 200, "c"))), 409U);
 }
 
-// Guards against ever new ids that push out those of requests that must not run twice.
-TEST(RecentRequestIds, KeepsUnsafeIdsAndRemovesOthersAtTheLimit) {
-  using Result = RecentRequestIds::InsertResult;
-  RecentRequestIds ids(3, 7);
-  const Instant now = Instant::at_us(1), expiry = now + Duration::s(5);
-  const auto insert = [&](const std::string& id, bool unsafe, Instant at) {
-    return ids.insert(ids.digest_of(id), unsafe, at, at + Duration::s(5));
+// Guards against a second run of a request whose client left and sends the same id again.
+TEST_F(RequestAcceptanceTest, RejectsIdOfARequestWhoseClientHasLeft) {
+  start_router(all_endpoints());
+  for (const std::string& request : {post("pay", 1500, "d"), get(1500, "", "e")}) {
+    Stream client = connect_client();
+    client.send(request);
+    Stream attempt = take_attempt();
+    ASSERT_FALSE(attempt.read_message().empty());
+    client.close();
+    EXPECT_TRUE(attempt.is_closed_by_peer());
+    EXPECT_EQ(status_of(answer_to(request)), 409U);
+  }
+  EXPECT_EQ(take_attempt(50).fd, -1);
+}
+
+// Guards against a client that keeps a connection and an endpoint for an hour by the time that it names.
+TEST_F(RequestAcceptanceTest, AnswersWithinTheLimitIfTheClientNamesALongerTime) {
+  limits_.max_time_left = Duration::ms(300);
+  start_router(endpoint_list(endpoint_entry(0), 41, true));
+  Stream client = connect_client();
+  client.send(post("pay", 3'600'000));
+  Stream attempt = take_attempt();
+  const std::string request = attempt.read_message();
+  EXPECT_LE(std::stoul(request.substr(request.find("X-Time-Left-Ms: ") + 16)), 300U);
+  EXPECT_EQ(status_of(client.read_message(1000)), 502U);
+}
+
+// Guards against one client that uses up the room for ids, so that other clients' requests are refused.
+TEST_F(RequestAcceptanceTest, RefusesOnlyTheClientThatUsesUpItsShareOfTheIds) {
+  limits_.max_remembered_request_ids = 8;
+  limits_.max_remembered_request_ids_per_client = 4;
+  start_router(all_endpoints());
+  const auto serve = [&](Stream& client) {
+    client.send(post("pay"));
+    Stream attempt = take_attempt(200);
+    if (!attempt.read_message(200).empty()) attempt.send(status_line("200", "Connection: close\r\n"));
+    return status_of(client.read_message());
   };
-  EXPECT_EQ(insert("unsafe", true, now), Result::kInserted);
-  for (int i = 0; i < 1000; ++i)
-    EXPECT_EQ(insert("other" + std::to_string(i), false, now), Result::kInserted);
-  EXPECT_EQ(ids.size(), 3U);
-  EXPECT_EQ(insert("unsafe", true, now), Result::kPresent);
-  EXPECT_EQ(insert("unsafe 2", true, now), Result::kInserted);
-  EXPECT_EQ(insert("unsafe 3", true, now), Result::kInserted);
-  EXPECT_EQ(insert("unsafe 4", true, now), Result::kFull);
-  EXPECT_EQ(insert("unsafe 4", true, expiry), Result::kInserted);
-  EXPECT_EQ(ids.size(), 1U);
+  Stream busy = connect_client(), other = connect_client();
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(serve(busy), 200U) << i;
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(serve(busy), 503U) << i;
+  EXPECT_EQ(serve(other), 200U);
+}
+
+class RecentRequestIdsTest : public testing::Test {
+ protected:
+  using Result = RecentRequestIds::BeginResult;
+  Result begin(const std::string& id, bool may_run_again, std::uint64_t client = 1) {
+    return ids_.begin(ids_.digest_of(id), {client, may_run_again}, now_);
+  }
+  void end(const std::string& id, bool may_have_run = true) {
+    ids_.end(ids_.digest_of(id), may_have_run, now_);
+  }
+  Instant now_ = Instant::at_us(1);
+  RecentRequestIds ids_{3, 2, Duration::s(5), 7};
+};
+
+// Guards against ever new ids that push out those of requests that must not run twice.
+TEST_F(RecentRequestIdsTest, KeepsIdsOfRequestsThatMustNotRunTwiceAndRemovesOthersAtTheLimit) {
+  EXPECT_EQ(begin("unsafe", false), Result::kStored);
+  end("unsafe");
+  EXPECT_EQ(begin("in flight", true), Result::kStored);
+  for (int i = 0; i < 1000; ++i) {
+    EXPECT_EQ(begin("other" + std::to_string(i), true), Result::kStored);
+    end("other" + std::to_string(i));
+  }
+  EXPECT_EQ(ids_.size(), 4U);
+  EXPECT_EQ(begin("unsafe", false), Result::kPresent);
+  EXPECT_EQ(begin("in flight", true), Result::kPresent);
+  EXPECT_EQ(begin("other999", true), Result::kPresent);
+  EXPECT_EQ(begin("unsafe 2", false), Result::kStored);
+  EXPECT_EQ(begin("unsafe 3", false), Result::kFull);  // this client's share is used
+  EXPECT_EQ(begin("unsafe 3", false, 2), Result::kStored);
+  EXPECT_EQ(begin("unsafe 4", false, 2), Result::kFull);  // all room is used
+  EXPECT_EQ(begin("safe", true), Result::kStored);        // needs no room while it is in flight
+  end("safe");
+  end("unsafe 2");
+  end("unsafe 3");
+  EXPECT_EQ(begin("unsafe 2", false), Result::kPresent);
+  EXPECT_EQ(begin("unsafe 3", false), Result::kPresent);
+  EXPECT_EQ(ids_.size(), 4U);
+  now_ = now_ + Duration::s(5);
+  EXPECT_EQ(begin("unsafe 4", false), Result::kStored);
+  EXPECT_EQ(ids_.size(), 2U);
+  EXPECT_EQ(begin("in flight", true), Result::kPresent);  // however long it takes
+}
+
+TEST_F(RecentRequestIdsTest, ForgetsIdsOfRequestsThatCannotHaveRun) {
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(begin("a", false), Result::kStored) << i;
+    end("a", false);
+  }
+  EXPECT_EQ(ids_.size(), 0U);
 }
 
 }  // namespace
