--- a/tests/memory_limits_test.cpp
+++ b/tests/memory_limits_test.cpp
@@ -115,6 +115,26 @@
   }
 }
 
+// The event loop is held up meanwhile, so that nothing is read.
+TEST_F(MemoryLimitsTest, KernelTakesNoMoreOfAClientThanTheReceiveBuffer) {
+  constexpr int kBufferBytes = 4096;
+  limits_.client_receive_buffer_bytes = kBufferBytes;
+  start_router(all_endpoints());
+  Stream client = connect_client();
+  ::setsockopt(client.fd, SOL_SOCKET, SO_SNDBUF, &kBufferBytes, sizeof kBufferBytes);
+  std::size_t sent_bytes = 0;
+  run_on_loop([&] {
+    const std::string bytes(1024, 'x');
+    for (int i = 0; i < 200; ++i) {
+      const ssize_t count = ::send(client.fd, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (count > 0) sent_bytes += static_cast<std::size_t>(count);
+      usleep(1000);
+    }
+  });
+  EXPECT_GT(sent_bytes, 0U);
+  EXPECT_LT(sent_bytes, 8U * kBufferBytes);  // both ends' buffers, which the kernel doubles
+}
+
 TEST_F(MemoryLimitsTest, RefusesHeadsOfMoreThanTheMaximumNumberOfFields) {
   start_router(all_endpoints());
   std::string fields;
@@ -138,7 +158,7 @@
   EXPECT_EQ(limits.limits.max_memory_bytes, 32 * kMiB);
 }
 
-// Guards against windows of arrivals that grew with each request while no release was on trial.
+// Guards against windows of arrivals that grew with each request without a canary.
 TEST(MemoryLimits, HoldForTheEventsThatSlidingWindowsCount) {
   const Duration window = Duration::s(2);
   policy::ArrivalCounter arrivals(1, window, 1000);
