Tell surplus input from a client's close in the detailed log

A request whose client sent more than the request was ended through the callback for a close, so that its detailed line said that the client had closed, though the client gets 400.

--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -44,7 +44,7 @@
 // would not be noticed. Empty lines are ignored (RFC 9112, section 2.2).
 void ClientConnection::on_surplus_data() {
   if (!has_surplus_input()) return connection_.consume(connection_.unread().size());
-  owner_.callbacks_.on_client_closed(*this);
+  owner_.callbacks_.on_surplus_input(*this);
   close_after_answer_ = true;
   connection_.discard_input();
   answer_plain(kBadRequestStatus);
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -3,9 +3,9 @@
 //
 // Each complete request is passed to Callbacks::on_request of ClientConnections. The receiver answers it once
 // with answer() or answer_plain(), either within that call or later. It must not answer any more after
-// Callbacks::on_client_closed. Requests that cannot be parsed are answered by this class with the status that
-// RFC 9112 gives. Whatever ends the connection also removes it from ClientConnections; no error is returned
-// to the caller. Times are instants of the event loop.
+// Callbacks::on_client_closed or Callbacks::on_surplus_input. Requests that cannot be parsed are answered by
+// this class with the status that RFC 9112 gives. Whatever ends the connection also removes it from
+// ClientConnections; no error is returned to the caller. Times are instants of the event loop.
 #pragma once
 #include <cstdint>
 #include <memory>
--- a/src/routing/client_connections.hpp
+++ b/src/routing/client_connections.hpp
@@ -29,6 +29,9 @@
     // Called when the client has closed the connection before its request was answered. The connection must
     // not be used after this call.
     std::function<void(ClientConnection&)> on_client_closed;
+    // Called when the client has sent more than its request before the answer. The connection then answers
+    // the request with an error itself.
+    std::function<void(ClientConnection&)> on_surplus_input;
     // Called if the request has not been answered by the instant given to set_answer_deadline().
     std::function<void(ClientConnection&)> on_answer_deadline;
   };
--- a/src/routing/request_lifecycle.cpp
+++ b/src/routing/request_lifecycle.cpp
@@ -221,10 +221,17 @@
 // ---- Ends that the routing policy has not decided ----
 
 void RequestLifecycle::on_client_closed(ClientConnection& client) {
+  abandon(client, "client closed the connection before the answer");
+}
+
+void RequestLifecycle::on_surplus_input(ClientConnection& client) {
+  abandon(client, "client sent more than the request before the answer");
+}
+
+void RequestLifecycle::abandon(ClientConnection& client, const char* reason) {
   if (!client.request_id) return;
   const RequestId id = *client.request_id;
-  context_.detail_log.write_line(LogTopic::kRequests, context_.loop.now(),
-                                 "request %u: client closed the connection before the answer", id);
+  context_.detail_log.write_line(LogTopic::kRequests, context_.loop.now(), "request %u: %s", id, reason);
   take_client(id);
   notify_client_gone(id);
 }
--- a/src/routing/request_lifecycle.hpp
+++ b/src/routing/request_lifecycle.hpp
@@ -50,7 +50,7 @@
   bool has_room_for(std::size_t request_bytes) const;
 
   // Takes over the request and returns its id. `client` must stay valid until it has been answered or
-  // on_client_closed() has been called.
+  // on_client_closed() or on_surplus_input() has been called.
   RequestId accept(ClientConnection& client, AcceptedRequest accepted);
 
   // See RouterActions.
@@ -61,6 +61,9 @@
 
   // Called when a client has closed its connection. Does nothing if it has no current request.
   void on_client_closed(ClientConnection& client);
+  // Called when a client has sent more than its request, which its connection then answers with an error.
+  // Does nothing if the client has no current request.
+  void on_surplus_input(ClientConnection& client);
   // Answers the client's current request with an error, because the routing policy has not completed it in
   // time.
   void on_answer_deadline(ClientConnection& client);
@@ -107,6 +110,8 @@
   // Detaches the client from the request. Returns null if that has been done before.
   ClientConnection* take_client(RequestId id);
   void fail_overdue(RequestId id);
+  // Ends the client's current request without an answer, and logs why.
+  void abandon(ClientConnection& client, const char* reason);
   // Tells the routing policy that the request needs no answer any more.
   void notify_client_gone(RequestId id);
   void release_if_complete(RequestId id);
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -60,6 +60,7 @@
       clients_(loop, limits, instance.listen_address,
                {.on_request = [this](auto& client, auto& request) { on_request(client, request); },
                 .on_client_closed = [this](auto& client) { requests_.on_client_closed(client); },
+                .on_surplus_input = [this](auto& client) { requests_.on_surplus_input(client); },
                 .on_answer_deadline = [this](auto& client) { requests_.on_answer_deadline(client); }}),
       pools_(loop, limits, connect_timeout(limits, settings)),
       lease_(context_, endpoint_lease_settings(limits, settings, pools_.connect_timeout())),
