--- a/proofs/soak.cpp
+++ b/proofs/soak.cpp
@@ -22,6 +22,7 @@
 #include "fakes/client.hpp"
 #include "fakes/discovery.hpp"
 #include "fakes/endpoint.hpp"
+#include "fakes/loopback_host.hpp"
 #include "fakes/release_platform.hpp"
 #include "figures.hpp"
 
@@ -70,6 +71,7 @@
   double run_twice = 0;
   double rejected_after_run = 0;
   double sent_past_grace = 0;
+  double from_other_tests = 0;  // requests of another test that runs on this machine
 };
 
 // An endpoint, with the history of the states in which discovery listed it.
@@ -169,8 +171,8 @@
     auto router = std::make_unique<Router>();
     router->number = number;
     {
-      const Listener free_port(loop_, "127.0.0.1:0", 1, [](int) {});
-      router->address = "127.0.0.1:" + std::to_string(free_port.port());
+      const Listener free_port(loop_, fakes::loopback_host() + ":0", 1, [](int) {});
+      router->address = fakes::loopback_host() + ":" + std::to_string(free_port.port());
     }
     router->path = (folder_ / ("n" + std::to_string(number) + ".json")).string();
     const int clients = many_routers_ ? 2 : 4;
@@ -333,7 +335,8 @@
   void send(Router& router, int c) {
     fakes::Client& client = *router.clients[static_cast<std::size_t>(c)];
     const bool unsafe = random_.next_below(3) == 0;
-    const std::string id = "r" + std::to_string(router.number) + "-" + std::to_string(++last_request_number_);
+    const std::string id =
+        "r" + std::to_string(router.number) + id_suffix_ + std::to_string(++last_request_number_);
     const std::string fields =
         "Host: o\r\nX-Account: shop\r\nX-Correlation-Id: " + id +
         "\r\nX-Time-Left-Ms: " + std::to_string(static_cast<int>(kRequestTimeout.ms())) + "\r\n";
@@ -374,6 +377,7 @@
   // ---- Servers ----
 
   void on_request(Server& server, const std::string& id, bool unsafe, bool runs) {
+    if (id.find(id_suffix_) == std::string::npos) return void(++counts_.from_other_tests);
     if (runs && unsafe && !unsafe_ids_run_.insert(id).second) ++counts_.run_twice;
     const int router = std::atoi(id.c_str() + 1);
     const Instant now = loop_.now();
@@ -415,6 +419,8 @@
   std::vector<std::unique_ptr<Timer>> timers_;
   std::set<std::string> unsafe_ids_run_;  // ids of unsafe requests that ran
   std::uint64_t last_request_number_ = 0;
+  // Distinguishes the ids of this test's requests from those of other tests on this machine.
+  const std::string id_suffix_ = "-" + std::to_string(::getpid()) + "-";
   Timer end_, fault_timer_;
 };
 
@@ -437,6 +443,7 @@
   proof.at_most("unsafe_run_twice", counts.run_twice, 0);
   proof.at_most("refused_after_it_ran", counts.rejected_after_run, 0);
   proof.at_most("sent_past_the_grace", counts.sent_past_grace, 0);
+  proof.at_most("from_other_tests", counts.from_other_tests, 0);
   return proof.verdict();
 }
 
--- a/src/fakes/discovery.cpp
+++ b/src/fakes/discovery.cpp
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <utility>
 
+#include "fakes/loopback_host.hpp"
+
 namespace ashbeam::fakes {
 
 namespace {
@@ -87,9 +89,10 @@
                                                      }),
       queue_timer_(loop, [this] { serve_waiting_calls(); }) {
   for (std::size_t router = 0; router < options.router_count; ++router) {
-    listeners_.push_back(std::make_unique<Listener>(loop, "127.0.0.1:0", kBacklog, [this, router](int fd) {
-      if (fd >= 0) watches_.push_back(std::make_unique<Watch>(*this, fd, router));
-    }));
+    listeners_.push_back(
+        std::make_unique<Listener>(loop, loopback_host() + ":0", kBacklog, [this, router](int fd) {
+          if (fd >= 0) watches_.push_back(std::make_unique<Watch>(*this, fd, router));
+        }));
   }
   keep_alive_.schedule_after(kKeepAliveInterval);
   if (service_time_ > Duration()) queue_timer_.schedule_after(kQueueInterval);
@@ -98,7 +101,7 @@
 Discovery::~Discovery() = default;
 
 std::string Discovery::address(std::size_t router) const {
-  return "127.0.0.1:" + std::to_string(listeners_[router]->port());
+  return loopback_host() + ":" + std::to_string(listeners_[router]->port());
 }
 
 void Discovery::put(const std::vector<ListedEndpoint>& endpoints) {
--- a/src/fakes/endpoint.hpp
+++ b/src/fakes/endpoint.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/limits.hpp"
+#include "fakes/loopback_host.hpp"
 #include "protocol/http.hpp"
 #include "transport/connection.hpp"
 #include "transport/event_loop.hpp"
@@ -32,7 +33,7 @@
   Endpoint(EventLoop& loop, const Limits& limits, Handler handler);
   ~Endpoint();
 
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::string address() const { return loopback_host() + ":" + std::to_string(port_); }
   std::uint64_t request_count() const { return request_count_; }
 
   // Destroys the connections and closes the listener, so that new connections are refused.
--- a/src/fakes/release_platform.cpp
+++ b/src/fakes/release_platform.cpp
@@ -96,7 +96,7 @@
                                                       keep_alive_.schedule_after(kKeepAliveInterval);
                                                     }),
       rollback_end_(loop, [this] { change(ReleaseProgress::kWithdrawn, state_.stage); }),
-      listener_(loop, "127.0.0.1:0", kBacklog, [this](int fd) {
+      listener_(loop, loopback_host() + ":0", kBacklog, [this](int fd) {
         if (fd >= 0) clients_.push_back(std::make_unique<Client>(*this, fd));
       }) {
   state_.since = loop.now() - kInitialAge;
--- a/src/fakes/release_platform.hpp
+++ b/src/fakes/release_platform.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/limits.hpp"
+#include "fakes/loopback_host.hpp"
 #include "protocol/json.hpp"
 #include "protocol/lines.hpp"
 #include "transport/connection.hpp"
@@ -37,7 +38,7 @@
                   OnChange on_change);
   ~ReleasePlatform();
 
-  std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
+  std::string address() const { return loopback_host() + ":" + std::to_string(listener_.port()); }
   const State& state() const { return state_; }
   // Returns the state as the JSON object that the platform sends.
   std::string state_json() const;
