--- a/src/transport/failure.cpp
+++ b/src/transport/failure.cpp
@@ -27,8 +27,9 @@
 ConnectionFailure classify_pending_error(int error) {
   switch (error) {
     case ECONNREFUSED:
-    case ECONNRESET:
       return ConnectionFailure::kRefused;
+    case ECONNRESET:  // after the peer's machine had accepted the connection
+      return ConnectionFailure::kBroken;
     case EADDRNOTAVAIL:
     case ENOBUFS:
     case ENOMEM:
--- a/tests/local_failures_test.cpp
+++ b/tests/local_failures_test.cpp
@@ -15,6 +15,8 @@
     EXPECT_EQ(classify_immediate_error(error), ConnectionFailure::kLocal) << error;
   EXPECT_EQ(classify_immediate_error(ECONNREFUSED), ConnectionFailure::kRefused);
   EXPECT_EQ(classify_pending_error(ECONNREFUSED), ConnectionFailure::kRefused);
+  // A reset after the peer's machine had accepted the connection shows that a process listens there.
+  EXPECT_EQ(classify_pending_error(ECONNRESET), ConnectionFailure::kBroken);
   for (const int error : {ETIMEDOUT, EHOSTUNREACH, ENETUNREACH})
     EXPECT_EQ(classify_pending_error(error), ConnectionFailure::kUnreachable) << error;
 }
