--- a/src/routing/endpoint_list_lease.cpp
+++ b/src/routing/endpoint_list_lease.cpp
@@ -42,6 +42,10 @@
   publish();
 }
 
+Instant EndpointListLease::proving_connections_opened_until() const {
+  return state() == policy::LeaseState::kFresh ? Instant() : lease_.confirmed_at();
+}
+
 void EndpointListLease::on_endpoint_answered(EndpointIndex endpoint, Instant sent,
                                              Instant connection_opened) {
   if (lease_.is_listed_process(connection_opened))
--- a/src/routing/endpoint_list_lease.hpp
+++ b/src/routing/endpoint_list_lease.hpp
@@ -32,6 +32,9 @@
   policy::LeaseState state() const { return lease_.state(context_.loop.now()); }
   // Returns when the list was last confirmed; far in the past if it never was.
   Instant confirmed_at() const { return lease_.confirmed_at(); }
+  // Returns until when a connection must have been opened for its answers to count in on_endpoint_answered(),
+  // or Instant() while the list is current, so that no endpoint depends on them.
+  Instant proving_connections_opened_until() const;
   // Called when an endpoint has answered a request that was sent at `sent` on a connection that was opened at
   // `connection_opened`. If that shows that the endpoint was not draining then, the routing policy may use
   // the endpoint for longer.
--- a/src/routing/endpoint_pools.cpp
+++ b/src/routing/endpoint_pools.cpp
@@ -47,6 +47,8 @@
   bool is_usable() const { return connection_.is_idle(); }
   bool has_unsolicited_bytes() const { return connection_.has_input(); }
   Instant idle_since() const { return idle_since_; }
+  // Returns when the connection was established, or never if it was not.
+  Instant opened_at() const { return opened_at_; }
   void close_after_answer() { reusable_ = false; }
   std::size_t slot() const { return slot_; }
   void set_slot(std::size_t slot) { slot_ = slot; }
@@ -250,12 +252,13 @@
   return busy && !sent_unsolicited_bytes ? limits_.busy_endpoint_settle_time : limits_.endpoint_settle_time;
 }
 
-EndpointPools::PooledConnection* EndpointPools::take_idle(EndpointIndex endpoint) {
+EndpointPools::PooledConnection* EndpointPools::take_idle(EndpointIndex endpoint, Instant opened_until) {
   const Instant settled_if_idle_since = loop_.now() - settle_time(pools_[endpoint]);
   auto& idle = pools_[endpoint].idle;
   for (std::size_t i = idle.size(); i-- > 0;) {
     PooledConnection* const connection = idle[i];
     if (connection->idle_since() > settled_if_idle_since) continue;
+    if (connection->opened_at() > opened_until) continue;
     if (connection->is_usable()) {
       idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
       return connection;
@@ -291,7 +294,8 @@
                                   EndCallback on_end) {
   PooledConnection* connection = nullptr;
   if (endpoint < pools_.size()) {
-    connection = take_idle(endpoint);
+    if (preferred_opened_until_ != Instant()) connection = take_idle(endpoint, preferred_opened_until_);
+    if (!connection) connection = take_idle(endpoint, Instant::never());
     if (!connection) connection = open_new(endpoint);
   }
   // The endpoint is unknown, or the limit of connections is reached and all are in use.
--- a/src/routing/endpoint_pools.hpp
+++ b/src/routing/endpoint_pools.hpp
@@ -61,6 +61,10 @@
   // Starts an attempt. `on_end` is called once, also if no connection could be made.
   AttemptHandle send(EndpointIndex endpoint, RequestBuilder build_request, Instant deadline,
                      EndCallback on_end);
+  // From now on attempts use idle connections that were opened until `opened_until` before others: only their
+  // answers show that the listed process has accepted a request (see EndpointListLease). Instant() stands for
+  // no preference.
+  void prefer_connections(Instant opened_until) { preferred_opened_until_ = opened_until; }
   // Cancels the attempt. Its EndCallback is called after this function has returned.
   void cancel(AttemptHandle attempt);
   // Cancels the attempt if its request has not been written completely, so that the endpoint cannot have run
@@ -86,7 +90,8 @@
   // the largest ones are cancelled.
   void reduce_answers();
   Duration settle_time(const Pool& pool) const;
-  PooledConnection* take_idle(EndpointIndex endpoint);
+  // Returns an idle connection that was opened until `opened_until` and may be used, or nullptr.
+  PooledConnection* take_idle(EndpointIndex endpoint, Instant opened_until);
   PooledConnection* open_new(EndpointIndex endpoint);
   bool make_room();
   AttemptHandle add_attempt(PooledConnection* connection);
@@ -103,6 +108,7 @@
   std::vector<std::unique_ptr<PooledConnection>> connections_;
   Slab<InFlightAttempt> attempts_;
   std::uint64_t last_serial_number_ = 0;
+  Instant preferred_opened_until_;
 };
 
 }  // namespace ashbeam
--- a/tests/endpoint_pools_test.cpp
+++ b/tests/endpoint_pools_test.cpp
@@ -123,6 +123,28 @@
   EXPECT_TRUE(attempt.receive(500));
 }
 
+// Guards against an endpoint that is taken for unproven although it answers, because the connections that
+// prove its answers rest while newer ones are used.
+TEST_F(EndpointPoolsTest, UsesConnectionsOlderThanTheListFirstWhileThereIsNoWatch) {
+  start_router("");
+  Stream watch = discovery_.accept();
+  watch.send(kWatchHead + endpoint_list(endpoint_entry(0), 41, true) + "\n");
+  usleep(20000);
+  EXPECT_EQ(count_new_connections(1), 1);
+  watch.send("\n");
+  usleep(20000);
+  watch.reset();
+  EXPECT_EQ(count_new_connections(3), 3);  // the older one rests after its answer
+  for (int i = 0; i < 3; ++i) {
+    usleep(70000);  // longer than the settle time
+    Stream client = connect_client();
+    client.send(get());
+    EXPECT_FALSE(connections_[0].read_message(200).empty()) << i;
+    connections_[0].send(kOkAnswer);
+    client.read_message();
+  }
+}
+
 TEST_F(EndpointPoolsTest, DoesNotReadSurplusBytesAsTheNextAnswer) {
   limits_.endpoint_settle_time = Duration::ms(100);
   start_router(endpoint_list(endpoint_entry(0), 41, true));
