--- a/src/policy/call_pacing.hpp
+++ b/src/policy/call_pacing.hpp
@@ -30,11 +30,12 @@
     return jittered(mean, random_fraction);
   }
   // Returns the delay before a call that is to be repeated soon, however often it has failed.
-  static Duration short_delay(double random_fraction) { return jittered(kFirstWait, random_fraction); }
+  static Duration short_delay(double random_fraction) { return jittered(kShortWait, random_fraction); }
 
  private:
   static Duration jittered(Duration mean, double random_fraction) { return mean * (0.5 + random_fraction); }
   static constexpr Duration kFirstWait = Duration::ms(300);
+  static constexpr Duration kShortWait = Duration::ms(200);
   std::array<Duration, 4> waits_;  // Mean delays by the number of earlier failures.
   std::size_t failure_count_ = 0;  // Failures since the last success, up to the last index of waits_.
 };
--- a/src/policy/endpoint_lease.cpp
+++ b/src/policy/endpoint_lease.cpp
@@ -23,6 +23,8 @@
   line_started_at_ = Instant::never();
   notified_by_move_at_ = Instant::never();
   early_notification_until_ = Instant();
+  unwatched_since_ = Instant::never();
+  outage_ = DiscoveryOutage(usable_drain_grace());
   is_watched_ = true;
 }
 
@@ -34,9 +36,14 @@
   is_watched_ = false;
   const Instant missed_until = silent ? now + settings_.max_notification_delay : now;
   early_notification_until_ = std::max(early_notification_until_, missed_until);
+  // Changes count as notified later after a silent watch, and after a change of the address.
+  if (silent || notified_by_move_at_ < Instant::never()) return;
+  unwatched_since_ = now;
+  outage_.on_watch_ended(now);
 }
 
 void EndpointLease::on_discovery_moved(Instant now) {
+  outage_.on_ended();
   const Instant notified = now + settings_.max_notification_delay_after_move;
   notified_by_move_at_ = std::min(notified_by_move_at_, notified);
   early_notification_until_ = std::max(early_notification_until_, notified);
@@ -54,17 +61,32 @@
   EndpointListValidity validity;
   validity.valid_until = valid_until();
   validity.blocked_from = blocked_from();
-  validity.early_notification_until = is_watched_ ? Instant::never() : early_notification_until_;
   validity.early_extension = usable_drain_grace();
+  if (settings_.is_pushed) {
+    validity.early_notification_until = outage_.since();
+    validity.extension = usable_drain_grace();
+    validity.min_extended_until = outage_.until() + usable_drain_grace();
+    if (!is_watched_ && !outage_.is_proven())
+      validity.answers_needed_from = validity.valid_until - usable_drain_grace();
+    return validity;
+  }
+  validity.early_notification_until = is_watched_ ? Instant::never() : early_notification_until_;
   validity.extension = settings_.max_notification_delay + usable_drain_grace();
   return validity;
 }
 
 Instant EndpointLease::valid_until() const {
-  const Instant notified = std::min(confirmed_at_ + settings_.max_notification_delay, notified_by_move_at_);
+  const Instant notified = std::min(
+      {confirmed_at_ + settings_.max_notification_delay, notified_by_move_at_, notified_unwatched_at()});
   return std::min(notified + usable_drain_grace(), blocked_from());
 }
 
+Instant EndpointLease::notified_unwatched_at() const {
+  if (!settings_.is_pushed || unwatched_since_ == Instant::never()) return Instant::never();
+  // A later outage does not show what discovery knew before it.
+  return outage_.since() == unwatched_since_ ? outage_.until() : unwatched_since_;
+}
+
 Instant EndpointLease::blocked_from() const {
   return line_started_at_ == Instant::never() ? Instant::never() : line_started_at_ + usable_drain_grace();
 }
--- a/src/policy/endpoint_lease.hpp
+++ b/src/policy/endpoint_lease.hpp
@@ -14,7 +14,15 @@
 // - 6 s after a watch fell silent, if the watch missed it. Nothing shows when that was: right after the last
 //   line, or just before the router closed the watch. That it was closed may not reach a discovery that is
 //   cut off, so changes may count as missed after the close, too, until the 6 s are over;
-// - 4 s after the address of discovery was changed, if it was made before that.
+// - 4 s after the address of discovery was changed, if it was made before that;
+// - where discovery pushes the list: as soon as discovery has the change, even if no watch is open. A change
+//   that a silent watch misses, and one after a change of the address, still count as notified when the lines
+//   above say. While discovery is down it learns nothing; what it learns at its return counts at once.
+//
+// A pushed list may therefore be used for the drain grace after the end of its watch, and for longer only
+// while discovery is down (see DiscoveryOutage) or after a silent watch. An endpoint that has accepted a
+// request during an outage may be used until the grace after the outage, because its drain begins later than
+// its answer and discovery has it no earlier than at its return.
 //
 // What is not known is assumed to be the worst case that the protocol permits. Leases are described by Gray
 // and Cheriton, 1989.
@@ -24,6 +32,7 @@
 #include <cstdint>
 
 #include "base/time.hpp"
+#include "policy/discovery_outage.hpp"
 #include "policy/endpoint_list_validity.hpp"
 
 namespace ashbeam::policy {
@@ -38,6 +47,8 @@
   Duration drain_grace;
   // The maximum time from the decision to send an attempt until its first byte is sent.
   Duration send_delay;
+  // Whether discovery pushes the list: changes count as notified even if no watch is open.
+  bool is_pushed = false;
 };
 
 enum class LeaseState : std::uint8_t {
@@ -50,7 +61,8 @@
 
 class EndpointLease {
  public:
-  explicit EndpointLease(const EndpointLeaseSettings& settings) : settings_(settings) {}
+  explicit EndpointLease(const EndpointLeaseSettings& settings)
+      : settings_(settings), outage_(usable_drain_grace()) {}
 
   // Called when a complete line has been received on a watch. It confirms the list.
   void on_line_received(Instant now);
@@ -60,6 +72,10 @@
   // Called when a watch or a call has ended. `silent` says that it was closed because it had stopped sending.
   // A call that fails, however it does, renews nothing: it does not show what discovery knew before.
   void on_watch_ended(Instant now, bool silent);
+  // Called when a call that began at `started` has been refused, because no process listens at the address.
+  void on_call_refused(Instant started) { outage_.on_call_refused(started); }
+  // Called when discovery has accepted the connection of a call.
+  void on_call_accepted() { outage_.on_ended(); }
   // Called when the address of discovery has been changed, before the watch at the former address is closed.
   void on_discovery_moved(Instant now);
 
@@ -76,6 +92,9 @@
  private:
   Instant valid_until() const;
   Instant blocked_from() const;
+  // Returns when the first missed change may count as notified because the list is pushed and no watch is
+  // open, or never if that is not the case.
+  Instant notified_unwatched_at() const;
   // Returns the part of the drain grace that is left after the delay of sending.
   Duration usable_drain_grace() const { return settings_.drain_grace - settings_.send_delay; }
 
@@ -89,6 +108,10 @@
   Instant notified_by_move_at_ = Instant::never();
   // While no watch is open: see EndpointListValidity::early_notification_until.
   Instant early_notification_until_;
+  // When the watch on a pushed list ended, or never if one is open, or if it fell silent or ended because the
+  // address of discovery was changed.
+  Instant unwatched_since_ = Instant::never();
+  DiscoveryOutage outage_;
 };
 
 }  // namespace ashbeam::policy
--- a/src/policy/endpoint_list_validity.hpp
+++ b/src/policy/endpoint_list_validity.hpp
@@ -6,6 +6,8 @@
 //
 // Performs no I/O and reports no errors. Without further information, everything is valid.
 #pragma once
+#include <algorithm>
+
 #include "base/time.hpp"
 
 namespace ashbeam {
@@ -23,11 +25,17 @@
   // `early_notification_until`, and if it was later.
   Duration early_extension;
   Duration extension;
+  // Attempts may start until then to every endpoint that has accepted a request at or after
+  // `early_notification_until`.
+  Instant min_extended_until;
+  // From this time on, endpoints have to accept requests again and again to remain usable.
+  Instant answers_needed_from = Instant::never();
 
   // Returns the time before which attempts may start to an endpoint that has accepted a request sent at
   // `sent`.
   Instant extended_until(Instant sent) const {
-    return sent + (sent < early_notification_until ? early_extension : extension);
+    if (sent < early_notification_until) return sent + early_extension;
+    return std::max(sent + extension, min_extended_until);
   }
   // Returns whether an attempt may start at `now`. `last_accepted` is when the last request was sent that the
   // endpoint has accepted, or Instant() if it has accepted none.
--- a/src/policy/load_balancer.cpp
+++ b/src/policy/load_balancer.cpp
@@ -117,22 +117,46 @@
 
 std::optional<Selection> LoadBalancer::power_of_two_choices(const Request& request,
                                                             std::vector<Candidate>& candidates, Instant now) {
+  if (guards_.are_answers_needed(now)) {
+    if (const auto selection = least_recently_used(request, candidates, now)) return selection;
+  }
   const double ample_time_ms = request.ms_to_objective(now) / kAmpleTimeDivisor;
   std::optional<Selection> best;
   for (int draws = 0; draws < kMaxDraws && !candidates.empty(); ++draws) {
     if (draws == kMinDraws && best->predicted_ms < ample_time_ms) break;
     const std::size_t drawn = draw_candidate(candidates);
     const EndpointIndex index = candidates[drawn].endpoint;
-    const Endpoint& endpoint = inputs_.endpoints[index];
-    const double predicted_ms = inputs_.latency.predicted_ms(request.request_class, endpoint,
-                                                             inputs_.slow_start.capacity(endpoint, now), now);
-    if (!best || predicted_ms < best->predicted_ms) best = Selection{index, predicted_ms};
+    const double predicted = predicted_ms(request, index, now);
+    if (!best || predicted < best->predicted_ms) best = Selection{index, predicted};
     candidates[drawn] = candidates.back();
     candidates.pop_back();
   }
   return best;
 }
 
+// Requests that went to the quickest endpoints only would leave ever fewer of them usable.
+std::optional<Selection> LoadBalancer::least_recently_used(const Request& request,
+                                                           const std::vector<Candidate>& candidates,
+                                                           Instant now) const {
+  std::optional<EndpointIndex> oldest;
+  for (const Candidate& candidate : candidates) {
+    const Endpoint& endpoint = inputs_.endpoints[candidate.endpoint];
+    if (endpoint.attempts_in_flight > 0) continue;
+    if (!oldest || endpoint.last_response_at < inputs_.endpoints[*oldest].last_response_at)
+      oldest = candidate.endpoint;
+  }
+  if (!oldest) return std::nullopt;
+  const Selection selection{*oldest, predicted_ms(request, *oldest, now)};
+  const double max_ms = request.ms_to_objective(now) * kMaxAcceptableLatencyFraction;
+  return selection.predicted_ms <= max_ms ? std::optional(selection) : std::nullopt;
+}
+
+double LoadBalancer::predicted_ms(const Request& request, EndpointIndex index, Instant now) const {
+  const Endpoint& endpoint = inputs_.endpoints[index];
+  return inputs_.latency.predicted_ms(request.request_class, endpoint,
+                                      inputs_.slow_start.capacity(endpoint, now), now);
+}
+
 std::size_t LoadBalancer::draw_candidate(const std::vector<Candidate>& candidates) {
   double total = 0;
   for (const Candidate& candidate : candidates) total += candidate.weight;
--- a/src/policy/load_balancer.hpp
+++ b/src/policy/load_balancer.hpp
@@ -63,6 +63,11 @@
   // Removes the endpoints that it draws from `candidates`.
   std::optional<Selection> power_of_two_choices(const Request& request, std::vector<Candidate>& candidates,
                                                 Instant now);
+  // Returns the candidate that has not responded for the longest time. Returns nothing if each of them is in
+  // use, or if that one is predicted to be slow.
+  std::optional<Selection> least_recently_used(const Request& request,
+                                               const std::vector<Candidate>& candidates, Instant now) const;
+  double predicted_ms(const Request& request, EndpointIndex index, Instant now) const;
   // Returns the index of a candidate drawn at random by weight. `candidates` must not be empty.
   std::size_t draw_candidate(const std::vector<Candidate>& candidates);
   // Returns whether a canary endpoint is tried before a stable one.
--- a/src/policy/request_router.cpp
+++ b/src/policy/request_router.cpp
@@ -82,8 +82,8 @@
 // The current list stays in use until its lease expires.
 void RequestRouter::on_endpoint_watch_failed(EndpointWatchFailure failure) {
   // Where the list is pushed, a change counts as notified as soon as discovery is available again. The next
-  // call has to follow within the drain grace.
-  const bool soon = !settings_.must_watch_endpoints && failure == EndpointWatchFailure::kUnavailable;
+  // call has to follow within the drain grace, unless discovery may be overloaded.
+  const bool soon = !settings_.must_watch_endpoints && failure != EndpointWatchFailure::kOther;
   const double random_fraction = random_.next_double();
   const Duration delay =
       soon ? CallPacing::short_delay(random_fraction) : endpoint_watch_pacing_.on_failure(random_fraction);
--- a/src/policy/router_policy.hpp
+++ b/src/policy/router_policy.hpp
@@ -31,6 +31,7 @@
 // Why there is no watch on the endpoint list.
 enum class EndpointWatchFailure : std::uint8_t {
   kUnavailable,  // Discovery has ended the call at once and without an answer.
+  kLocal,        // This machine could not make the call.
   kOther,        // Discovery may be overloaded.
 };
 
--- a/src/policy/rule_guards.hpp
+++ b/src/policy/rule_guards.hpp
@@ -32,6 +32,9 @@
   // Returns whether the lease of the list permits attempts to all of its ready endpoints.
   bool is_list_valid(Instant now) const { return now < list_validity_.valid_until; }
 
+  // Returns whether endpoints have to accept requests again and again to remain usable.
+  bool are_answers_needed(Instant now) const { return now >= list_validity_.answers_needed_from; }
+
   // Returns whether the request's next attempt may go to this endpoint now. `traffic_weight` is the fraction
   // of the exposure cap that this router uses, see ExposureCap::allows().
   bool may_send(const Request& request, EndpointIndex index, double traffic_weight, Instant now);
--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -63,7 +63,9 @@
   const bool was_open = connection_ != nullptr;
   close_call(WatchEndReason::kAddressChanged);
   if (!watching_) return;
-  if (was_open) observer_.on_watch_ended({.reason = WatchEndReason::kAddressChanged, .replaced = true});
+  if (was_open)
+    observer_.on_watch_ended(
+        {.reason = WatchEndReason::kAddressChanged, .call_started_at = call_started_at_, .replaced = true});
   watch();
 }
 
@@ -121,7 +123,7 @@
   const bool was_established = established_;
   close_call(reason);
   ++replacements_;
-  observer_.on_watch_ended({.reason = reason, .replaced = true});
+  observer_.on_watch_ended({.reason = reason, .call_started_at = call_started_at_, .replaced = true});
   const bool first_replacement = was_established && replacements_ == 1;
   start_call(first_replacement ? limits_.replacement_watch_timeout : limits_.discovery_call_timeout);
 }
@@ -137,13 +139,22 @@
 }
 
 void DiscoveryClient::on_closed() {
-  const bool local = connection_->failure() == ConnectionFailure::kLocal;
-  end_watch(local ? WatchEndReason::kLocalFailure : WatchEndReason::kClosed);
+  switch (connection_->failure()) {
+    case ConnectionFailure::kLocal:
+      return end_watch(WatchEndReason::kLocalFailure);
+    case ConnectionFailure::kRefused:
+      return end_watch(WatchEndReason::kRefused);
+    case ConnectionFailure::kNone:
+    case ConnectionFailure::kUnreachable:
+    case ConnectionFailure::kBroken:
+      return end_watch(WatchEndReason::kClosed);
+  }
 }
 
 void DiscoveryClient::on_connected() {
   detail_log_.write_line(LogTopic::kDiscovery, loop_.now(), "discovery: call %llu connected after %.1f ms",
                          call_number(), call_ms());
+  observer_.on_call_accepted();
 }
 
 void DiscoveryClient::on_data() {
@@ -212,9 +223,11 @@
 }
 
 void DiscoveryClient::end_watch(WatchEndReason reason) {
-  const bool unavailable = reason == WatchEndReason::kClosed && was_ended_at_once();
+  const bool ended_by_discovery = reason == WatchEndReason::kClosed || reason == WatchEndReason::kRefused;
+  const bool unavailable = ended_by_discovery && was_ended_at_once();
   close_call(reason);
-  observer_.on_watch_ended({.reason = reason, .unavailable = unavailable});
+  observer_.on_watch_ended(
+      {.reason = reason, .call_started_at = call_started_at_, .unavailable = unavailable});
 }
 
 bool DiscoveryClient::was_ended_at_once() const {
--- a/src/routing/discovery_client.hpp
+++ b/src/routing/discovery_client.hpp
@@ -35,6 +35,8 @@
     // Called after each complete line, including empty ones: the list received last is current. The regular
     // end of a watch confirms nothing, because the watch may have stopped receiving changes before it.
     virtual void on_list_confirmed() = 0;
+    // Called when the connection of a call has been established.
+    virtual void on_call_accepted() = 0;
     // Called when part of a response or of a line has been received, but not all of it.
     virtual void on_line_started() = 0;
     virtual void on_watch_ended(const WatchEnd& end) = 0;
--- a/src/routing/endpoint_list_lease.cpp
+++ b/src/routing/endpoint_list_lease.cpp
@@ -26,6 +26,11 @@
   on_changed("confirmed by discovery");
 }
 
+void EndpointListLease::on_call_accepted() {
+  lease_.on_call_accepted();
+  publish();
+}
+
 void EndpointListLease::on_line_started() {
   lease_.on_line_started(context_.loop.now());
   publish();
@@ -34,6 +39,7 @@
 void EndpointListLease::on_watch_ended(const WatchEnd& end) {
   const Instant now = context_.loop.now();
   lease_.on_watch_ended(now, end.reason == WatchEndReason::kSilent || end.reason == WatchEndReason::kStalled);
+  if (end.reason == WatchEndReason::kRefused) lease_.on_call_refused(end.call_started_at);
   on_changed(name_of(end.reason));
 }
 
@@ -84,6 +90,7 @@
   policy::EndpointLeaseSettings lease;
   if (settings.must_watch_endpoints)
     lease.max_notification_delay = std::min(lease.max_notification_delay, settings.endpoint_poll_interval);
+  lease.is_pushed = !settings.must_watch_endpoints;
   lease.drain_grace = settings.drain_grace;
   lease.send_delay = connect_timeout + limits.max_processing_delay + limits.max_network_delay;
   return lease;
--- a/src/routing/endpoint_list_lease.hpp
+++ b/src/routing/endpoint_list_lease.hpp
@@ -21,6 +21,8 @@
 
   // Called when a complete line has been received on a watch, so that the list is current.
   void on_list_confirmed();
+  // Called when discovery has accepted the connection of a call.
+  void on_call_accepted();
   // Called when part of a line, or of the response to a call, has been received. A change that it announces
   // already counts as notified.
   void on_line_started();
--- a/src/routing/endpoint_watch.cpp
+++ b/src/routing/endpoint_watch.cpp
@@ -4,6 +4,15 @@
 
 namespace ashbeam {
 
+namespace {
+
+EndpointWatchFailure failure_of(const WatchEnd& end) {
+  if (end.reason == WatchEndReason::kLocalFailure) return EndpointWatchFailure::kLocal;
+  return end.unavailable ? EndpointWatchFailure::kUnavailable : EndpointWatchFailure::kOther;
+}
+
+}  // namespace
+
 EndpointWatch::EndpointWatch(RouterContext& context, const std::string& discovery_address,
                              EndpointRegistry& registry, EndpointListLease& lease, Readiness& readiness)
     : context_(context), registry_(registry), lease_(lease), readiness_(readiness),
@@ -45,14 +54,15 @@
   readiness_.on_list_confirmed();
 }
 
+void EndpointWatch::on_call_accepted() { lease_.on_call_accepted(); }
+
 void EndpointWatch::on_line_started() { lease_.on_line_started(); }
 
 void EndpointWatch::on_watch_ended(const WatchEnd& end) {
   lease_.on_watch_ended(end);
   if (lost_watches_++ == 0) context_.log(std::string("discovery: watch ended: ") + name_of(end.reason));
   if (end.replaced) return;
-  context_.policy.at_now().on_endpoint_watch_failed(end.unavailable ? EndpointWatchFailure::kUnavailable
-                                                                    : EndpointWatchFailure::kOther);
+  context_.policy.at_now().on_endpoint_watch_failed(failure_of(end));
 }
 
 }  // namespace ashbeam
--- a/src/routing/endpoint_watch.hpp
+++ b/src/routing/endpoint_watch.hpp
@@ -35,6 +35,7 @@
   // DiscoveryClient::Observer.
   void on_endpoint_list(const EndpointList& list) override;
   void on_list_confirmed() override;
+  void on_call_accepted() override;
   void on_line_started() override;
   void on_watch_ended(const WatchEnd& end) override;
 
--- a/src/routing/watch_end.cpp
+++ b/src/routing/watch_end.cpp
@@ -6,6 +6,8 @@
   switch (reason) {
     case WatchEndReason::kClosed:
       return "connection closed";
+    case WatchEndReason::kRefused:
+      return "connection refused";
     case WatchEndReason::kLocalFailure:
       return "this machine could not connect";
     case WatchEndReason::kSilent:
--- a/src/routing/watch_end.hpp
+++ b/src/routing/watch_end.hpp
@@ -2,10 +2,13 @@
 #pragma once
 #include <cstdint>
 
+#include "base/time.hpp"
+
 namespace ashbeam {
 
 enum class WatchEndReason : std::uint8_t {
   kClosed,            // discovery closed the connection or ended the response, or the connection failed
+  kRefused,           // no process listens at the address of discovery
   kLocalFailure,      // this machine could not connect (no descriptor, port, memory or route)
   kSilent,            // no complete line within the timeout
   kStalled,           // no further byte of an incomplete line within the timeout
@@ -20,6 +23,7 @@
 
 struct WatchEnd {
   WatchEndReason reason = WatchEndReason::kClosed;
+  Instant call_started_at;
   bool replaced = false;     // another watch has already been started
   bool unavailable = false;  // discovery has ended the call at once and without an answer
 };
--- a/tests/policy/call_pacing_test.cpp
+++ b/tests/policy/call_pacing_test.cpp
@@ -37,8 +37,9 @@
   settings.must_watch_endpoints = false;
   SimulatedRouter router(settings);
   for (unsigned i = 0; i < 40; ++i) {
-    router.policy->on_endpoint_watch_failed(EndpointWatchFailure::kUnavailable);
-    EXPECT_LE(router.actions.wakeups[2], Duration::ms(450));
+    router.policy->on_endpoint_watch_failed(i % 2 == 0 ? EndpointWatchFailure::kUnavailable
+                                                       : EndpointWatchFailure::kLocal);
+    EXPECT_LE(router.actions.wakeups[2], Duration::ms(300));
   }
   // Discovery that keeps its callers waiting is overloaded.
   for (unsigned i = 0; i < 3; ++i) router.policy->on_endpoint_watch_failed(EndpointWatchFailure::kOther);
--- a/tests/policy/load_balancer_test.cpp
+++ b/tests/policy/load_balancer_test.cpp
@@ -23,6 +23,27 @@
   EXPECT_LT(lost, router.actions.attempts.size() / 4);
 }
 
+// Guards against endpoints that become unusable one after another, because none but the quickest receive the
+// requests whose answers they need.
+TEST(LoadBalancer, UsesAllEndpointsInTurnWhileTheyNeedAnswers) {
+  SimulatedRouter router(default_settings(), 8);
+  router.serve = [](ReleaseVersion, EndpointIndex endpoint) {
+    return Outcome{AttemptResult::kOk, Duration::ms(endpoint < 2 ? 10 : 150)};
+  };
+  router.run(Duration::s(5), 40);
+  EndpointListValidity validity;
+  validity.answers_needed_from = router.now;
+  router.policy->set_endpoint_list_validity(validity);
+  const std::size_t from = router.actions.attempts.size();
+  router.run(Duration::s(1), 40);
+  for (EndpointIndex endpoint = 0; endpoint < 8; ++endpoint) {
+    const auto sent = std::count_if(router.actions.attempts.begin() + static_cast<std::ptrdiff_t>(from),
+                                    router.actions.attempts.end(),
+                                    [&](const auto& attempt) { return attempt.endpoint == endpoint; });
+    EXPECT_GE(sent, 3) << endpoint;
+  }
+}
+
 // Half of the endpoints are small machines. They must receive what they can serve, during a canary release
 // and after it. Half of the requests would overload them.
 TEST(LoadBalancer, SendsSmallMachinesOnlyTheirCapacity) {
--- a/tests/router_fixture.hpp
+++ b/tests/router_fixture.hpp
@@ -119,6 +119,18 @@
   Stream accept(int wait_ms = 1500) const {
     return Stream(has_pending(wait_ms) ? ::accept(fd, nullptr, nullptr) : -1);
   }
+  // Connections are refused from now on until listen_again(). The port stays reserved.
+  void refuse_connections() {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+    ::close(fd);
+    fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+  }
+  void listen_again() const { EXPECT_EQ(::listen(fd, 64), 0); }
   // From now on connecting neither succeeds nor is refused.
   void fill_accept_queue() {
     ::listen(fd, 0);
--- a/tests/router_process.hpp
+++ b/tests/router_process.hpp
@@ -55,9 +55,12 @@
   }
   // From now on rejects requests as a draining endpoint does.
   void drain() { draining_ = true; }
+  // Ends all connections. Another process accepts requests at the address from now on.
+  void restart() { restarting_ = true; }
 
  private:
   void serve() {
+    if (restarting_.exchange(false)) streams_.clear();
     std::vector<pollfd> in{{listener_.fd, POLLIN, 0}};
     for (const Stream& stream : streams_) in.push_back({stream.fd, POLLIN, 0});
     if (::poll(in.data(), in.size(), kPollTimeoutMs) <= 0) return;
@@ -84,6 +87,7 @@
   mutable std::mutex mutex_;
   std::vector<SteadyTime> requests_;
   std::atomic<bool> draining_ = false;
+  std::atomic<bool> restarting_ = false;
   std::vector<Stream> streams_;
   BackgroundThread background_{[this] { serve(); }};
 };
