--- a/src/calling/budget.hpp
+++ b/src/calling/budget.hpp
@@ -2,6 +2,7 @@
 // handshakes: Budget limits one resource, and HashedBudgets limits each of many names. Callers pass the
 // current time, which must not decrease.
 #pragma once
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -29,6 +30,11 @@
     const double now_ns = nanoseconds(now);
     due_ns_ = (due_ns_ > now_ns ? due_ns_ : now_ns) + units * ns_per_unit_;
   }
+  // Forgives the units that would make wait_time() longer than `max_wait`.
+  void limit_wait(Instant now, Duration max_wait) {
+    const double max_due_ns = nanoseconds(now) + burst_ns_ + static_cast<double>(max_wait.us()) * 1e3;
+    due_ns_ = std::min(due_ns_, max_due_ns);
+  }
   // Returns the time until units may be spent again; zero if they may be spent now.
   Duration wait_time(Instant now) const {
     const double over_ns = due_ns_ - burst_ns_ - nanoseconds(now);
--- a/src/calling/handshake_limiter.cpp
+++ b/src/calling/handshake_limiter.cpp
@@ -4,14 +4,20 @@
 
 namespace ashbeam::calling {
 
-HandshakeLimiter::HandshakeLimiter(std::size_t max_in_progress, double cpu_s_per_s,
+HandshakeLimiter::HandshakeLimiter(std::size_t max_in_progress, double cpu_s_per_s, Duration timeout,
                                    Duration min_silence_before_eviction)
-    : max_in_progress_(max_in_progress), cpu_(cpu_budget(cpu_s_per_s)),
+    : max_in_progress_(max_in_progress), cpu_(cpu_budget(cpu_s_per_s)), max_wait_(timeout * kMaxWaitFraction),
       min_silence_before_eviction_(min_silence_before_eviction) {}
 
-void HandshakeLimiter::set_limits(std::size_t max_in_progress, double cpu_s_per_s) {
+void HandshakeLimiter::set_limits(std::size_t max_in_progress, double cpu_s_per_s, Duration timeout) {
   max_in_progress_ = max_in_progress;
   cpu_ = cpu_budget(cpu_s_per_s);
+  max_wait_ = timeout * kMaxWaitFraction;
+}
+
+void HandshakeLimiter::record_cpu_time(Duration cpu, Instant now) {
+  cpu_.spend(now, cpu.s());
+  cpu_.limit_wait(now, max_wait_);
 }
 
 HandshakeLimiter::StartResult HandshakeLimiter::start(Instant now) {
--- a/src/calling/handshake_limiter.hpp
+++ b/src/calling/handshake_limiter.hpp
@@ -22,11 +22,14 @@
   static constexpr Id kNone = 0;
 
   // `cpu_s_per_s` is the CPU time in seconds that handshakes may use per second; a tenth of it may be used in
-  // one burst. A handshake may be evicted if its client has sent nothing for longer than
-  // `min_silence_before_eviction`.
-  HandshakeLimiter(std::size_t max_in_progress, double cpu_s_per_s, Duration min_silence_before_eviction);
+  // one burst. `timeout` is the time within which a handshake has to be complete. No step waits longer than a
+  // quarter of it for earlier ones, however much CPU time they used: otherwise no handshake would be
+  // completed in time if each costs more than the limit allows within the timeout. A handshake may be evicted
+  // if its client has sent nothing for longer than `min_silence_before_eviction`.
+  HandshakeLimiter(std::size_t max_in_progress, double cpu_s_per_s, Duration timeout,
+                   Duration min_silence_before_eviction);
   // Replaces the limits. Handshakes in progress are retained, also those over a lower limit.
-  void set_limits(std::size_t max_in_progress, double cpu_s_per_s);
+  void set_limits(std::size_t max_in_progress, double cpu_s_per_s, Duration timeout);
 
   struct StartResult {
     Id id = kNone;       // the new handshake; kNone if it may not start
@@ -39,7 +42,7 @@
   // Returns whether the next step of the handshake may be computed now. If not, the handshake is queued for
   // CPU time.
   bool may_continue(Id id, Instant now);
-  void record_cpu_time(Duration cpu, Instant now) { cpu_.spend(now, cpu.s()); }
+  void record_cpu_time(Duration cpu, Instant now);
 
   // Returns the time until a waiting handshake may continue; zero if one may continue now.
   Duration wait_time(Instant now) const { return cpu_.wait_time(now); }
@@ -58,8 +61,12 @@
   };
   static Budget cpu_budget(double cpu_s_per_s) { return {cpu_s_per_s, cpu_s_per_s / 10}; }
 
+  // The part of the timeout that a step may wait for earlier ones. A full handshake has two steps.
+  static constexpr double kMaxWaitFraction = 0.25;
+
   std::size_t max_in_progress_;
   Budget cpu_;  // in seconds of CPU time
+  Duration max_wait_;
   Duration min_silence_before_eviction_;
   std::vector<Handshake> in_progress_;  // in the order in which they started
   std::vector<Id> waiting_;             // for CPU time, in the order in which they started to wait
--- a/src/transport/handshake_scheduler.cpp
+++ b/src/transport/handshake_scheduler.cpp
@@ -16,12 +16,13 @@
 }  // namespace
 
 HandshakeScheduler::HandshakeScheduler(EventLoop& loop, const TlsSettings& settings)
-    : loop_(loop),
-      limiter_(settings.max_handshakes, settings.max_handshake_cpu_fraction, kMinSilenceBeforeEviction),
+    : loop_(loop), limiter_(settings.max_handshakes, settings.max_handshake_cpu_fraction,
+                            settings.handshake_timeout, kMinSilenceBeforeEviction),
       resume_timer_(loop, [this] { resume_deferred(); }) {}
 
 void HandshakeScheduler::set_limits(const TlsSettings& settings) {
-  limiter_.set_limits(settings.max_handshakes, settings.max_handshake_cpu_fraction);
+  limiter_.set_limits(settings.max_handshakes, settings.max_handshake_cpu_fraction,
+                      settings.handshake_timeout);
 }
 
 std::optional<HandshakeScheduler::Id> HandshakeScheduler::admit() {
--- a/tests/handshake_limiter_test.cpp
+++ b/tests/handshake_limiter_test.cpp
@@ -14,7 +14,7 @@
 Instant at_ms(double ms) { return kBegin + Duration::ms(ms); }
 
 TEST(HandshakeLimiter, EvictsSilentHandshakeAndResumesNewestWaitingFirst) {
-  HandshakeLimiter limiter(2, 0.1, Duration::ms(100));
+  HandshakeLimiter limiter(2, 0.1, Duration::s(10), Duration::ms(100));
   const auto first = limiter.start(kBegin);
   const auto second = limiter.start(kBegin);
   EXPECT_EQ(limiter.start(at_ms(50)).id, HandshakeLimiter::kNone);  // no client has been silent for 100 ms
@@ -35,5 +35,25 @@
   EXPECT_EQ(limiter.in_progress_count(), 0U);
 }
 
+// Guards against a flood that lets no handshake complete in time, because each step costs more than the limit
+// allows within the timeout.
+TEST(HandshakeLimiter, LetsAHandshakeCompleteInTimeHoweverMuchAStepCosts) {
+  constexpr Duration kTimeout = Duration::ms(400), kStepCost = Duration::ms(30);
+  HandshakeLimiter limiter(2, 0.02, kTimeout, Duration::ms(100));
+  const auto first = limiter.start(kBegin);
+  const auto second = limiter.start(kBegin);
+  Instant now = kBegin;
+  for (const auto id : {first.id, second.id, second.id}) {
+    if (!limiter.may_continue(id, now)) {
+      now = now + limiter.wait_time(now);
+      EXPECT_EQ(limiter.take_next_waiting(now), id);
+    }
+    now = now + kStepCost;
+    limiter.record_cpu_time(kStepCost, now);
+  }
+  EXPECT_LE(now - kBegin, kTimeout);
+  EXPECT_GE(limiter.wait_time(now), Duration::ms(90));  // the steps are limited all the same
+}
+
 }  // namespace
 }  // namespace ashbeam
