--- a/tests/endpoint_lease_test.cpp
+++ b/tests/endpoint_lease_test.cpp
@@ -4,10 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
 #include "base/pcg.hpp"
+#include "lease_history_check.hpp"
 
 namespace ashbeam::policy {
 namespace {
@@ -137,12 +139,11 @@
     }
     for (Instant time = at(0); time < at(kLength); time = watches_.back().next_watch) add_watch(time);
   }
-  // Returns the process that accepts requests at this time, or nullptr.
-  const Process* accepting(Instant time) const {
-    for (const Process& process : processes_) {
-      if (process.begins <= time && time < process.drains) return &process;
-    }
-    return nullptr;
+  // Returns whether one process accepted requests from `from` to `to`.
+  bool accepts(Instant from, Instant to) const {
+    return std::any_of(processes_.begin(), processes_.end(), [&](const Process& process) {
+      return process.begins <= from && from < process.drains && to < process.drains;
+    });
   }
   // Returns the lease after the events until `now`.
   EndpointLease lease_at(Instant now) const {
@@ -229,35 +230,13 @@
 };
 
 TEST(EndpointLease, AgreesWithReferenceModelOnGeneratedHistories) {
-  constexpr int kHistories = 100000, kSamplesPerHistory = 4;
-  Pcg random(34);
-  int allowed = 0, refused = 0, extended = 0;
-  for (int i = 0; i < kHistories; ++i) {
-    const History history(random);
-    for (int sample = 0; sample < kSamplesPerHistory; ++sample) {
-      const Instant now = at(History::kLength * random.next_double());
-      const EndpointLease lease = history.lease_at(now);
-      const EndpointListValidity validity = lease.validity();
-      // An answer to an earlier request, on a connection that was opened before the request.
-      const Instant opened = now - Duration::s(12 * random.next_double());
-      const Instant sent = opened + (now - opened) * random.next_double();
-      const Process* const process = history.accepting(opened);
-      const bool accepted = process && sent < process->drains && lease.is_listed_process(opened);
-      if (!validity.allows(now, accepted ? sent : Instant())) {
-        ++refused;
-        continue;
-      }
-      ++allowed;
-      extended += !validity.allows(now, Instant());
-      if (const auto notified = history.notified(now)) {
-        ASSERT_LE(now + kSendDelay - kMaxNetworkDelay, *notified + kGrace) << "history " << i;
-      }
-    }
-  }
+  constexpr int kHistories = 100000;
+  LeaseDecisions decisions;
+  check_lease<History>({kHistories, 4, 34, 12, kGrace, kSendDelay, kMaxNetworkDelay}, decisions);
   // The generated histories reach each of the three cases often.
-  EXPECT_GT(allowed, kHistories);
-  EXPECT_GT(refused, kHistories / 10);
-  EXPECT_GT(extended, kHistories / 1000);
+  EXPECT_GT(decisions.allowed, kHistories);
+  EXPECT_GT(decisions.refused, kHistories / 10);
+  EXPECT_GT(decisions.extended, kHistories / 1000);
 }
 
 }  // namespace
--- a/tests/pushed_list_lease_test.cpp
+++ b/tests/pushed_list_lease_test.cpp
@@ -3,10 +3,12 @@
 // notified.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
 #include "base/pcg.hpp"
+#include "lease_history_check.hpp"
 #include "policy/endpoint_lease.hpp"
 
 namespace ashbeam::policy {
@@ -281,32 +283,12 @@
 };
 
 TEST(PushedListLease, AgreesWithReferenceModelOnGeneratedHistories) {
-  constexpr int kHistories = 100000, kSamplesPerHistory = 8;
-  Pcg random(59);
-  int allowed = 0, refused = 0, extended = 0;
-  for (int i = 0; i < kHistories; ++i) {
-    const PushedHistory history(random);
-    for (int sample = 0; sample < kSamplesPerHistory; ++sample) {
-      const Instant now = at(PushedHistory::kLength * random.next_double());
-      const EndpointLease lease = history.lease_at(now);
-      const EndpointListValidity validity = lease.validity();
-      const Instant opened = now - Duration::s(8 * random.next_double());
-      const Instant sent = opened + (now - opened) * random.next_double();
-      const bool accepted = history.accepts(opened, sent) && lease.is_listed_process(opened);
-      if (!validity.allows(now, accepted ? sent : Instant())) {
-        ++refused;
-        continue;
-      }
-      ++allowed;
-      extended += !validity.allows(now, Instant());
-      if (const auto notified = history.notified(now)) {
-        ASSERT_LE(now + kSendDelay - kMaxNetworkDelay, *notified + kGrace) << "history " << i;
-      }
-    }
-  }
-  EXPECT_GT(allowed, kHistories);
-  EXPECT_GT(refused, kHistories);
-  EXPECT_GT(extended, kHistories / 1000);
+  constexpr int kHistories = 100000;
+  LeaseDecisions decisions;
+  check_lease<PushedHistory>({kHistories, 8, 59, 8, kGrace, kSendDelay, kMaxNetworkDelay}, decisions);
+  EXPECT_GT(decisions.allowed, kHistories);
+  EXPECT_GT(decisions.refused, kHistories);
+  EXPECT_GT(decisions.extended, kHistories / 1000);
 }
 
 }  // namespace
