--- a/src/fakes/loopback_host.hpp
+++ b/src/fakes/loopback_host.hpp
@@ -10,12 +10,15 @@
 
 namespace ashbeam::fakes {
 
-// Returns the address without a port, 127.64.0.0 plus the id of the process, which is below 2^22 on Linux.
-inline std::string loopback_host() {
+// Returns the address without a port: 127.64.0.0 plus the id of the process, which is below 2^22 on Linux. A
+// process that is forked from one that has called this function gets the same address.
+inline const std::string& loopback_host() {
   constexpr unsigned kFirstSecondOctet = 64, kOctetBits = 8, kOctetMask = 0xff;
-  const auto pid = static_cast<unsigned>(::getpid());
-  return "127." + std::to_string(kFirstSecondOctet + (pid >> (2 * kOctetBits))) + "." +
-         std::to_string((pid >> kOctetBits) & kOctetMask) + "." + std::to_string(pid & kOctetMask);
+  static const auto pid = static_cast<unsigned>(::getpid());
+  static const std::string host = "127." + std::to_string(kFirstSecondOctet + (pid >> (2 * kOctetBits))) +
+                                  "." + std::to_string((pid >> kOctetBits) & kOctetMask) + "." +
+                                  std::to_string(pid & kOctetMask);
+  return host;
 }
 
 }  // namespace ashbeam::fakes
