--- a/src/policy/endpoint_lease.cpp
+++ b/src/policy/endpoint_lease.cpp
@@ -66,8 +66,9 @@
     validity.early_notification_until = outage_.since();
     validity.extension = usable_drain_grace();
     validity.min_extended_until = outage_.until() + usable_drain_grace();
-    if (!is_watched_ && !outage_.is_proven())
-      validity.answers_needed_from = validity.valid_until - usable_drain_grace();
+    if (!is_watched_)
+      validity.answers_needed_from =
+          outage_.is_proven() ? validity.min_extended_until : validity.valid_until - usable_drain_grace();
     return validity;
   }
   validity.early_notification_until = is_watched_ ? Instant::never() : early_notification_until_;
--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -63,9 +63,7 @@
   const bool was_open = connection_ != nullptr;
   close_call(WatchEndReason::kAddressChanged);
   if (!watching_) return;
-  if (was_open)
-    observer_.on_watch_ended(
-        {.reason = WatchEndReason::kAddressChanged, .call_started_at = call_started_at_, .replaced = true});
+  if (was_open) observer_.on_watch_ended({.reason = WatchEndReason::kAddressChanged, .replaced = true});
   watch();
 }
 
@@ -123,7 +121,7 @@
   const bool was_established = established_;
   close_call(reason);
   ++replacements_;
-  observer_.on_watch_ended({.reason = reason, .call_started_at = call_started_at_, .replaced = true});
+  observer_.on_watch_ended({.reason = reason, .replaced = true});
   const bool first_replacement = was_established && replacements_ == 1;
   start_call(first_replacement ? limits_.replacement_watch_timeout : limits_.discovery_call_timeout);
 }
--- a/src/routing/endpoint_list_lease.cpp
+++ b/src/routing/endpoint_list_lease.cpp
@@ -12,8 +12,9 @@
 
 }  // namespace
 
-EndpointListLease::EndpointListLease(RouterContext& context, const policy::EndpointLeaseSettings& settings)
-    : context_(context), lease_(settings),
+EndpointListLease::EndpointListLease(RouterContext& context, EndpointPools& pools,
+                                     const policy::EndpointLeaseSettings& settings)
+    : context_(context), pools_(pools), lease_(settings),
       expiry_timer_(context.loop, [this] { on_changed("not confirmed in time"); }) {}
 
 void EndpointListLease::start() {
@@ -48,10 +49,6 @@
   publish();
 }
 
-Instant EndpointListLease::proving_connections_opened_until() const {
-  return state() == policy::LeaseState::kFresh ? Instant() : lease_.confirmed_at();
-}
-
 void EndpointListLease::on_endpoint_answered(EndpointIndex endpoint, Instant sent,
                                              Instant connection_opened) {
   if (lease_.is_listed_process(connection_opened))
@@ -78,6 +75,8 @@
   EndpointListValidity validity = lease_.validity();
   validity.valid_until = std::max(validity.valid_until, configured_list_valid_until_);
   context_.policy.at_now().set_endpoint_list_validity(validity);
+  // While the list is current, no endpoint depends on its answers.
+  pools_.prefer_connections(state() == policy::LeaseState::kFresh ? Instant() : lease_.confirmed_at());
   if (validity.valid_until > context_.loop.now()) {
     expiry_timer_.schedule_at(validity.valid_until);
   } else {
--- a/src/routing/endpoint_list_lease.hpp
+++ b/src/routing/endpoint_list_lease.hpp
@@ -6,6 +6,7 @@
 // Nothing here can fail.
 #pragma once
 #include "policy/endpoint_lease.hpp"
+#include "routing/endpoint_pools.hpp"
 #include "routing/router_context.hpp"
 #include "routing/watch_end.hpp"
 
@@ -13,7 +14,8 @@
 
 class EndpointListLease {
  public:
-  EndpointListLease(RouterContext& context, const policy::EndpointLeaseSettings& settings);
+  EndpointListLease(RouterContext& context, EndpointPools& pools,
+                    const policy::EndpointLeaseSettings& settings);
 
   // From now on the configured list may be used for Limits::configured_list_validity, whatever the state of
   // the lease is.
@@ -34,9 +36,6 @@
   policy::LeaseState state() const { return lease_.state(context_.loop.now()); }
   // Returns when the list was last confirmed; far in the past if it never was.
   Instant confirmed_at() const { return lease_.confirmed_at(); }
-  // Returns until when a connection must have been opened for its answers to count in on_endpoint_answered(),
-  // or Instant() while the list is current, so that no endpoint depends on them.
-  Instant proving_connections_opened_until() const;
   // Called when an endpoint has answered a request that was sent at `sent` on a connection that was opened at
   // `connection_opened`. If that shows that the endpoint was not draining then, the routing policy may use
   // the endpoint for longer.
@@ -48,6 +47,7 @@
   void log_state(const char* reason) const;
 
   RouterContext& context_;
+  EndpointPools& pools_;
   policy::EndpointLease lease_;
   policy::LeaseState logged_state_ = policy::LeaseState::kExpired;
   Instant configured_list_valid_until_;
--- a/src/routing/request_lifecycle.cpp
+++ b/src/routing/request_lifecycle.cpp
@@ -77,7 +77,6 @@
   };
   if (has_client_left(id))
     return context_.loop.post([on_end] { on_end({AttemptResult::kCancelledBeforeSent}); });
-  pools_.prefer_connections(lease_.proving_connections_opened_until());
   request.attempts.back().handle = pools_.send(endpoint, build_request, deadline, on_end);
 }
 
--- a/src/routing/service.cpp
+++ b/src/routing/service.cpp
@@ -63,7 +63,7 @@
                 .on_surplus_input = [this](auto& client) { requests_.on_surplus_input(client); },
                 .on_answer_deadline = [this](auto& client) { requests_.on_answer_deadline(client); }}),
       pools_(loop, limits, connect_timeout(limits, settings)),
-      lease_(context_, endpoint_lease_settings(limits, settings, pools_.connect_timeout())),
+      lease_(context_, pools_, endpoint_lease_settings(limits, settings, pools_.connect_timeout())),
       registry_(context_, pools_, lease_, wire_settings), readiness_(context_),
       endpoint_watch_(context_, instance.discovery_address, registry_, lease_, readiness_),
       releases_(context_, registry_, wire_settings.request_classes, instance.release_platform_address,
--- a/src/routing/watch_end.hpp
+++ b/src/routing/watch_end.hpp
@@ -23,9 +23,9 @@
 
 struct WatchEnd {
   WatchEndReason reason = WatchEndReason::kClosed;
-  Instant call_started_at;
-  bool replaced = false;     // another watch has already been started
-  bool unavailable = false;  // discovery has ended the call at once and without an answer
+  Instant call_started_at = Instant();  // not set if the router has closed the call
+  bool replaced = false;                // another watch has already been started
+  bool unavailable = false;             // discovery has ended the call at once and without an answer
 };
 
 }  // namespace ashbeam
--- a/tests/pushed_list_lease_test.cpp
+++ b/tests/pushed_list_lease_test.cpp
@@ -58,6 +58,8 @@
     EXPECT_EQ(lease.validity().valid_until, std::min(at(started), missed) + kUsableGrace);
     EXPECT_EQ(lease.validity().extended_until(at(10.9)), at(10.9) + kUsableGrace);
     EXPECT_EQ(lease.validity().extended_until(at(11.1)), at(started) + kUsableGrace);
+    // Endpoints depend on further answers only once the refusals stop.
+    EXPECT_EQ(lease.validity().answers_needed_from, at(started) + kUsableGrace);
   }
 }
 
